--- a/src/main/java/cranetrestle/WireHost.java
+++ b/src/main/java/olivechute/benchlink/BenchLink.java
@@ -1,4 +1,4 @@
-package cranetrestle;
+package olivechute.benchlink;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -15,16 +15,18 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import olivechute.decision.Decide;
+import olivechute.decision.DispatchApi;
 
 /** The adapter for the simulator's wire: translates events and actions, decides nothing. */
-public final class WireHost {
+public final class BenchLink {
     private static final JsonFactory JSON = new JsonFactory();
 
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final Map<Long, List<DispatchApi.Entry>> pools = new LinkedHashMap<>();
     private JsonGenerator out;
 
-    private WireHost() { }
+    private BenchLink() { }
 
     /** A message that does not follow the wire. */
     static final class WireException extends RuntimeException {
@@ -34,8 +36,8 @@
     }
 
     /** Serves batches until the input ends; returns the exit status. */
-    static int run(InputStream input, OutputStream output, PrintStream errors) {
-        WireHost wire = new WireHost();
+    public static int run(InputStream input, OutputStream output, PrintStream errors) {
+        BenchLink wire = new BenchLink();
         ByteArrayOutputStream line = new ByteArrayOutputStream(1 << 16);
         long number = 0;
         try {
--- a/src/main/java/cranetrestle/Book.java
+++ b/src/main/java/olivechute/decision/Book.java
@@ -1,6 +1,6 @@
-package cranetrestle;
+package olivechute.decision;
 
-import static cranetrestle.DispatchApi.*;
+import static olivechute.decision.DispatchApi.*;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/main/java/cranetrestle/Decide.java
+++ b/src/main/java/olivechute/decision/Decide.java
@@ -1,7 +1,7 @@
-package cranetrestle;
+package olivechute.decision;
 
-import static cranetrestle.Book.*;
-import static cranetrestle.DispatchApi.*;
+import static olivechute.decision.Book.*;
+import static olivechute.decision.DispatchApi.*;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/main/java/cranetrestle/DispatchApi.java
+++ b/src/main/java/olivechute/decision/DispatchApi.java
@@ -1,4 +1,4 @@
-package cranetrestle;
+package olivechute.decision;
 
 import java.util.List;
 
--- a/src/test/java/cranetrestle/WireHostTest.java
+++ b/src/test/java/olivechute/benchlink/BenchLinkTest.java
@@ -1,4 +1,4 @@
-package cranetrestle;
+package olivechute.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,21 +12,21 @@
 import org.junit.jupiter.api.Test;
 
 /** The adapter: what it writes, and what bad lines get. */
-class WireHostTest {
+class BenchLinkTest {
     private String errors;
     private int status;
 
     private String run(String input) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        status = WireHost.run(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out,
+        status = BenchLink.run(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out,
             new PrintStream(err, true, StandardCharsets.UTF_8));
         errors = err.toString(StandardCharsets.UTF_8);
         return out.toString(StandardCharsets.UTF_8);
     }
 
     private static String resource(String name) throws IOException {
-        try (InputStream in = WireHostTest.class.getResourceAsStream(name)) {
+        try (InputStream in = BenchLinkTest.class.getResourceAsStream(name)) {
             return new String(in.readAllBytes(), StandardCharsets.UTF_8);
         }
     }
--- a/src/test/java/cranetrestle/DecideTest.java
+++ b/src/test/java/olivechute/decision/DecideTest.java
@@ -1,11 +1,11 @@
-package cranetrestle;
-
-import static cranetrestle.DispatchApi.*;
-import static cranetrestle.Harness.MS;
-import static cranetrestle.Harness.S;
-import static cranetrestle.Harness.entry;
-import static cranetrestle.Harness.kind;
-import static cranetrestle.Harness.settings;
+package olivechute.decision;
+
+import static olivechute.decision.DispatchApi.*;
+import static olivechute.decision.Harness.MS;
+import static olivechute.decision.Harness.S;
+import static olivechute.decision.Harness.entry;
+import static olivechute.decision.Harness.kind;
+import static olivechute.decision.Harness.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
--- a/src/test/java/cranetrestle/Harness.java
+++ b/src/test/java/olivechute/decision/Harness.java
@@ -1,6 +1,6 @@
-package cranetrestle;
+package olivechute.decision;
 
-import static cranetrestle.DispatchApi.*;
+import static olivechute.decision.DispatchApi.*;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
--- a/src/test/java/cranetrestle/SharesTest.java
+++ b/src/test/java/olivechute/decision/SharesTest.java
@@ -1,12 +1,12 @@
-package cranetrestle;
+package olivechute.decision;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cranetrestle.DispatchApi.Entry;
-import cranetrestle.DispatchApi.State;
-import cranetrestle.DispatchApi.Tenant;
+import olivechute.decision.DispatchApi.Entry;
+import olivechute.decision.DispatchApi.State;
+import olivechute.decision.DispatchApi.Tenant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
