Let the module estimate when room is likely and say so in every refusal

Seen: a refusal advised max_retry_after whatever the load (Decide.answer), which tells nothing and suppresses repeats. Now the module multiplies the held jobs by the gap between releases of jobs that waited, at least the job's own wait without a release; surplus jobs wait at least for their quota's next place.

--- a/src/main/java/olivechute/decision/Book.java
+++ b/src/main/java/olivechute/decision/Book.java
@@ -49,6 +49,7 @@
         boolean blocked;
         double recent;                  // arrivals, forgotten over Decide.ARRIVALS
         double tokens = Decide.QUOTA_BURST;
+        double rate;                    // jobs a second that its quota leaves this node
         long countedAt;
         double average;
         int running;
--- a/src/main/java/olivechute/decision/Decide.java
+++ b/src/main/java/olivechute/decision/Decide.java
@@ -59,6 +59,7 @@
     static final double PRIOR_JOBS = 2;            // weight of the guess that nodes get equal traffic
     static final int LOOKAHEAD = 4;                // held jobs of a tenant tried for a place each turn
     static final int UNLISTED_FAILURES = 3;        // in a row, and one missing from the list is forgotten
+    static final double GAP_WEIGHT = 0.1;          // of the last release in the usual gap between two
     private static final long MARK_TICK = 1;
     private static final long MARK_WATCH = 2;
     private static final long MARK_HELD = 3;
@@ -92,6 +93,8 @@
     private final List<Worker> heard = new ArrayList<>();           // of one placement
     private final List<Worker> unheard = new ArrayList<>();
     private final List<Worker> cheap = new ArrayList<>();           // of one draw
+    private double releaseGap = Double.NaN;        // between releases of jobs that waited
+    private long releasedAt;
     private long startedAt;
     private boolean ticking;
     private long tick = TICK;
@@ -155,13 +158,13 @@
         probeTokens = Math.min(probeTokens + Math.min(PROBES_MAX, PROBE_SPEND / settings.prices().probe()),
             4.0 * roster.size());
         if (now >= job.latestStart) {           // next to no time left: no tick may come before
-            answer(job);
+            answer(now, job);
         } else {
             enqueue(job, false);
         }
         pump(now);
         if (now >= job.holdUntil && unqueue(job)) {
-            answer(job);
+            answer(now, job);
         }
     }
 
@@ -450,6 +453,7 @@
         double theirs = quotas - row.tenant.quotaPerSecond();
         double part = (others + PRIOR_JOBS) / (theirs * span + PRIOR_JOBS * settings.fleetSize());
         double rate = part * row.tenant.quotaPerSecond();
+        row.rate = rate;
         row.tokens = Math.min(row.tokens + rate * (now - row.countedAt) / 1e6, Math.max(QUOTA_BURST, rate));
         row.countedAt = now;
         if (theirs <= 0 || row.tenant.quotaPerSecond() <= 0 || settings.overShareWorth() >= 1) {
@@ -908,6 +912,11 @@
             Worker w = place(now, job);
             if (w != null) {
                 it.remove();
+                if (now > job.arrived) {        // it waited: this gap is the fleet's, not the clients'
+                    double waited = now - Math.max(releasedAt, job.arrived);
+                    releaseGap = smooth(releaseGap, waited, GAP_WEIGHT);
+                }
+                releasedAt = now;
                 send(now, job, w);
                 return true;
             }
@@ -949,7 +958,7 @@
         boolean may = job.mayHaveRun == null || job.kind.effect() != Effect.UNSAFE;
         if (!may || last == Outcome.MOOT || job.attempts.size() >= settings.limits().maxAttempts()
             || now > job.giveUp - HOLD_MARGIN) {
-            answer(job);
+            answer(now, job);
         } else {
             enqueue(job, true);
         }
@@ -963,27 +972,45 @@
                     if (now >= job.holdUntil) {
                         it.remove();
                         r.held--;
-                        answer(job);
+                        answer(now, job);
                     }
                 }
             }
         }
     }
 
-    private void answer(Job job) {
+    private void answer(long now, Job job) {
         job.done = true;
         boolean refusable = job.out == 0 && (job.mayHaveRun == null || job.kind.effect() == Effect.SAFE
             || job.kind.effect() == Effect.KEYED && job.kind.group() == Group.ALL);
         if (refusable) {
             Limits limits = settings.limits();
             job.row.tokens += job.surplus ? 0 : 1;
-            actions.refuse(job.request.id(), limits.retryAfter() ? limits.maxRetryAfter() : 0);
+            actions.refuse(job.request.id(), Math.min(limits.maxRetryAfter(), roomLikelyIn(now, job)));
         } else {
             actions.fail(job.request.id());
         }
         forget(job);
     }
 
+    /**
+     * When a job that is turned away now would likely find room: what is held has its turn first, each after the
+     * gap that releases of waiting jobs lately took, or that it waited without one. A surplus job comes into its
+     * quota no sooner than that has a place again. A guess from this node's view, not a promise.
+     */
+    private long roomLikelyIn(long now, Job job) {
+        double ahead = 1;
+        for (Row r : rows.values()) {
+            ahead += r.held;
+        }
+        double waited = now - Math.max(releasedAt, job.arrived);
+        double room = ahead * (Double.isNaN(releaseGap) ? waited : Math.max(releaseGap, waited));
+        if (job.surplus && job.row.rate > 0) {
+            room = Math.max(room, (1 - job.row.tokens) / job.row.rate * 1e6);
+        }
+        return Math.max(tick, (long) Math.min(Long.MAX_VALUE / 2, room));
+    }
+
     private void forget(Job job) {
         if (job.done && job.out == 0) {
             jobs.remove(job.request.id());
--- a/src/test/java/olivechute/decision/DecideTest.java
+++ b/src/test/java/olivechute/decision/DecideTest.java
@@ -330,6 +330,36 @@
         assertTrue(Collections.max(placed.values()) > 30, placed.toString());
     }
 
+    /** The advice was the longest allowed whatever the load: it told nothing and kept repeats away. */
+    @Test
+    void aRefusalTellsWhenRoomIsLikely() {
+        Harness h = new Harness(settings(List.of(kind("c", Effect.SAFE, Group.ALL)), TWO, Reports.NONE, true, false), 1);
+        h.request("early", "c", "a", 5 * S);
+        h.advance(5 * S);
+        assertEquals(900 * MS, h.seen.get("early").retryAfter);    // it waited as long and saw no release
+        h.workers(1);
+        for (int i = 0; i < 12; i++) {                         // one runs at a time, 100 ms each
+            h.request("r" + i, "c", "a", 700 * MS);
+        }
+        for (int i = 0; i < 8; i++) {
+            for (Harness.Seen s : List.copyOf(h.seen.values())) {
+                if (s.out() > 0) {
+                    h.module.note(h.now, s.request.id(), 0, Note.STARTED, 0);
+                }
+            }
+            h.advance(100 * MS);
+            for (Harness.Seen s : List.copyOf(h.seen.values())) {
+                if (s.out() > 0) {
+                    h.outcome(s.request.id(), Outcome.OK);
+                }
+            }
+        }
+        List<Long> advice = h.seen.values().stream().filter(s -> s.retryAfter > 0 && s.request.left() < S)
+            .map(s -> s.retryAfter).toList();
+        assertTrue(advice.size() > 1 && advice.stream().allMatch(a -> a >= 50 * MS && a <= S), advice.toString());
+        assertTrue(Collections.max(advice) > Collections.min(advice), "those behind more wait longer " + advice);
+    }
+
     @Test
     void aWorkerThatStartsJobsTooLateIsLeftAloneUntilThatFades() {
         Harness h = new Harness(settings(List.of(kind("c", Effect.SAFE, Group.ALL)), TWO, Reports.NONE, true, false), 1);
--- a/src/test/java/olivechute/decision/Harness.java
+++ b/src/test/java/olivechute/decision/Harness.java
@@ -22,6 +22,7 @@
         RequestClass kind;
         long arrived;
         String answer;
+        long retryAfter;
         final List<String> workers = new ArrayList<>();
         final List<Long> sentAt = new ArrayList<>();
         final List<Outcome> outcomes = new ArrayList<>();
@@ -215,6 +216,8 @@
         boolean proven = s.outcomes.stream().allMatch(o -> o != null && o.neverRan);
         assertTrue(s.kind.effect() == Effect.SAFE || proven
             || s.kind.effect() == Effect.KEYED && s.kind.group() == Group.ALL, "refused though it may have run");
+        assertTrue(retryAfter > 0 && retryAfter <= settings.limits().maxRetryAfter(), "advice " + retryAfter);
+        s.retryAfter = retryAfter;
         end(s, "refused");
     }
 
