--- a/src/main/java/olivechute/Node.java
+++ b/src/main/java/olivechute/Node.java
@@ -1,6 +1,7 @@
 package olivechute;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import olivechute.config.NodeConfig;
 import olivechute.core.Dispatcher;
 import olivechute.core.Event;
@@ -42,6 +43,16 @@
         Logger.info("{} listens on {}", config.name(), config.listen());
     }
 
+    /** Where it listens. */
+    InetSocketAddress address() {
+        return front.address();
+    }
+
+    /** Streams that are owed an answer. */
+    int unanswered() {
+        return front.unanswered();
+    }
+
     /** Returns once all that was taken is answered and nobody sends here any more. */
     void drain() throws InterruptedException {
         Logger.info("draining");
--- /dev/null
+++ b/src/test/java/olivechute/NodeTest.java
@@ -0,0 +1,429 @@
+package olivechute;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import olivechute.config.NodeConfig;
+import olivechute.http.HttpRequest;
+import olivechute.http.HttpResponse;
+import olivechute.http.MessageWriter;
+import olivechute.net.Threads;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The rules on real sockets, one test each: a node between test-made clients, upstream hosts and discovery. */
+public class NodeTest {
+    private static final byte[] ACCEPTED = MessageWriter.response(202, new byte[0], true);
+    private static final byte[] TURNED_AWAY = MessageWriter.response(503, new byte[0], true, "X-Turned-Away", "1");
+    private static final byte[] ERROR = MessageWriter.response(500, new byte[0], true);
+
+    private final List<AutoCloseable> parties = new ArrayList<>();
+    private volatile Node node;
+    private Peer discovery;
+
+    @AfterMethod(alwaysRun = true)
+    public void closeParties() throws Exception {
+        for (AutoCloseable party : parties) {
+            party.close();
+        }
+        parties.clear();
+    }
+
+    private Peer peer(Peer.Answer answer) throws IOException {
+        Peer peer = new Peer(answer);
+        parties.add(peer);
+        return peer;
+    }
+
+    private Client client() throws IOException {
+        Client client = new Client(node.address());
+        parties.add(client);
+        return client;
+    }
+
+    private static String entry(String name, Peer host, String status, long since) {
+        return "{\"name\":\"" + name + "\",\"address\":\"" + host.text() + "\",\"zone\":\"a\",\"type\":\"k\",\"status\":\""
+            + status + "\",\"since_ms\":" + since + "}";
+    }
+
+    private static byte[] list(int index, boolean whole, String... entries) {
+        return MessageWriter.response(200, ("{\"index\":" + index + ",\"snapshot\":" + whole + ",\"endpoints\":["
+            + String.join(",", entries) + "]}").getBytes(StandardCharsets.UTF_8), true);
+    }
+
+    /** Starts a node that last knew these hosts; discovery says nothing unless it was set before. */
+    private void start(String... known) throws IOException {
+        startWith(1024, known);
+    }
+
+    private void startWith(int sockets, String... known) throws IOException {
+        if (discovery == null || !parties.contains(discovery)) {
+            discovery = peer(r -> null);
+        }
+        try (InputStream in = NodeTest.class.getResourceAsStream("/node.json")) {
+            String text = new String(in.readAllBytes(), StandardCharsets.UTF_8).replace("DISCOVERY", discovery.text())
+                .replace("SOCKETS", String.valueOf(sockets)).replace("KNOWN", String.join(",", known));
+            Path file = Files.createTempFile("node", ".json");
+            Files.writeString(file, text);
+            node = new Node(NodeConfig.load(Map.of("LB_CONFIG", file.toString())));
+            Files.delete(file);
+        }
+    }
+
+    /** A host that takes a job and tells this of it afterwards, each from a connection of its own. */
+    private Peer.Answer works(String from, String... news) {
+        return request -> {
+            Threads.start("news", () -> tell(request.headers().get("X-Txn"), from, news));
+            return ACCEPTED;
+        };
+    }
+
+    private void tell(String id, String from, String... news) {
+        try (Client c = new Client(node.address())) {
+            for (String rest : news) {
+                assertEquals(c.call(Client.news(id, from, rest)).status(), 204);
+            }
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static String done(String result) {
+        return "\"state\":\"done\",\"result\":\"" + result + "\",\"load\":{\"x0\":3,\"depth\":0}";
+    }
+
+    private static void await(BooleanSupplier holds) throws InterruptedException {
+        for (int i = 0; i < 300 && !holds.getAsBoolean(); i++) {
+            Thread.sleep(10);
+        }
+        assertTrue(holds.getAsBoolean());
+    }
+
+    private static String text(HttpResponse response) {
+        return response.status() + " " + new String(response.body(), StandardCharsets.UTF_8);
+    }
+
+    // ---- one final answer ---------------------------------------------------------------------------------
+
+    @Test
+    public void aJobIsPassedOnUnchangedAndItsResultIsTheAnswer() throws Exception {
+        Peer host = peer(works("s1", "\"state\":\"started\"", "\"state\":\"running\",\"share\":0.4", done("r\\u00e9")));
+        start(entry("s1", host, "active", 0));
+        assertEquals(text(client().call(Client.job("sign", "t1", 5000))), "200 r\u00e9");
+        HttpRequest r = host.requests().get(0);
+        assertEquals(r.method() + r.target() + new String(r.body()), "POST/sign?user=u1doc");
+        assertEquals(r.headers().get("X-Txn") + r.headers().get("Idempotency-Key"), "t1key-t1");
+        assertTrue(r.headers().get("X-Remaining").matches("[0-9]+u"));
+    }
+
+    /** Callers see a request through even when the word of its end overtakes the 202, repeats, or is not for it. */
+    @Test
+    public void newsEarlyRepeatedUnknownOrFromAnotherHostChangeNoAnswer() throws Exception {
+        Peer host = peer(r -> {
+            String id = r.headers().get("X-Txn");
+            tell(id, "s2", done("wrong"));
+            tell("nobody", "s1", done("wrong"));
+            tell(id, "s1", done("right"), done("again"), "\"state\":\"lost\"");
+            return ACCEPTED;
+        });
+        start(entry("s1", host, "active", 0));
+        Client client = client();
+        for (int i = 0; i < 3; i++) {
+            assertEquals(text(client.call(Client.job("verify", "t" + i, 5000))), "200 right");
+        }
+        assertEquals(host.requests().size(), 3);
+    }
+
+    @Test
+    public void aJobThatIsNeverDoneIsAnsweredBeforeItsClientLeavesAndGivenUp() throws Exception {
+        Peer host = peer(r -> ACCEPTED);
+        start(entry("s1", host, "active", 0));
+        long before = System.nanoTime();
+        int status = client().call(Client.job("pay", "t1", 1000)).status();
+        long millis = (System.nanoTime() - before) / 1_000_000;
+        assertEquals(status, 502);
+        assertTrue(millis > 800 && millis < 1000 + 58, millis + " ms");
+        await(() -> host.requests().size() == 2);
+        assertEquals(host.requests().get(1).method() + host.requests().get(1).target(), "DELETE/jobs/t1");
+    }
+
+    /** Refused at once, with honest advice, and not held back until the client's time is over. */
+    @Test
+    public void aRefusalLeavesAtOnceAndSaysWhenRoomIsLikely() throws Exception {
+        start();
+        long before = System.nanoTime();
+        HttpResponse refused = client().call(Client.job("verify", "t1", 5000));
+        assertEquals(refused.status(), 503);
+        double advice = Double.parseDouble(refused.headers().get("Retry-After"));
+        assertTrue(advice > 0 && advice <= 2, "advice " + advice);
+        assertTrue(System.nanoTime() - before < 1_500_000_000L);
+    }
+
+    @Test
+    public void aLiveIdIsNotTakenTwice() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Peer host = peer(r -> {
+            go.await(3, TimeUnit.SECONDS);
+            return works("s1", done("ok")).to(r);
+        });
+        start(entry("s1", host, "active", 0));
+        Client first = client().send(Client.job("verify", "t1", 5000));
+        await(() -> host.requests().size() == 1);
+        assertEquals(client().call(Client.job("verify", "t1", 5000)).status(), 409);
+        go.countDown();
+        assertEquals(text(first.receive()), "200 ok");
+    }
+
+    @Test
+    public void aClientThatHangsUpFreesItsStreamAndHarmsNoOther() throws Exception {
+        Peer host = peer(r -> ACCEPTED);
+        start(entry("s1", host, "active", 0));
+        client().send(Client.job("verify", "t1", 5000)).close();
+        await(() -> node.unanswered() == 0);
+        host.answer = works("s1", done("ok"));
+        tell("t1", "s1", done("late"));
+        assertEquals(text(client().call(Client.job("verify", "t2", 5000))), "200 ok");
+    }
+
+    // ---- attempts -----------------------------------------------------------------------------------------
+
+    @DataProvider
+    public Object[][] outcomes() {
+        String lost = "\"state\":\"lost\"";
+        String returned = "\"state\":\"returned\"";
+        String failed = "\"state\":\"failed\"";
+        return new Object[][] {
+            // class, the reply of every host (null: hang up), its news, upstream requests, the answer's status
+            {"verify", ACCEPTED, failed, 3, 503}, {"sign", ACCEPTED, lost, 3, 503}, {"pay", ACCEPTED, failed, 1, 502},
+            {"pay", ACCEPTED, lost, 1, 502}, {"pay", ACCEPTED, returned, 3, 503}, {"pay", TURNED_AWAY, null, 3, 503},
+            {"pay", ERROR, null, 1, 502}, {"verify", ERROR, null, 3, 503}, {"pay", Peer.HANG_UP, null, 1, 502},
+            {"sign", Peer.HANG_UP, null, 3, 503},
+        };
+    }
+
+    /** At most three, never two at once, and only where the class allows a repeat of what may have run. */
+    @Test(dataProvider = "outcomes")
+    public void aFailedUpstreamRequestIsRepeatedAsItsClassAllows(String kind, byte[] reply, String news, int requests,
+                                                                int status) throws Exception {
+        List<String> known = new ArrayList<>();
+        List<Peer> hosts = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            String name = "s" + i;
+            Peer host = peer(r -> news == null ? reply : works(name, news).to(r));
+            hosts.add(host);
+            known.add(entry(name, host, "active", 0));
+        }
+        start(known.toArray(new String[0]));
+        assertEquals(client().call(Client.job(kind, "t1", 2500)).status(), status);
+        assertEquals(hosts.stream().mapToInt(h -> h.requests().size()).sum(), requests);
+    }
+
+    @Test
+    public void aHostThatCannotBeReachedNeverRanTheJob() throws Exception {
+        Peer dead = peer(r -> null);
+        dead.close();
+        Peer host = peer(works("s2", done("ok")));
+        start(entry("s1", dead, "active", 0), entry("s2", host, "active", 0));
+        for (int i = 0; i < 5; i++) {
+            assertEquals(text(client().call(Client.job("pay", "t" + i, 5000))), "200 ok");
+        }
+    }
+
+    // ---- discovery ----------------------------------------------------------------------------------------
+
+    @Test
+    public void nothingNewGoesToAHostThatDrainsOrIsGone() throws Exception {
+        Peer leaving = peer(works("s1", done("old")));
+        Peer staying = peer(works("s2", done("new")));
+        CountDownLatch tell = new CountDownLatch(1);
+        discovery = peer(r -> {
+            tell.await(5, TimeUnit.SECONDS);
+            return r.target().contains("since=1&")
+                ? list(2, false, entry("s1", leaving, "leaving", 0), entry("s2", staying, "active", 0)) : null;
+        });
+        start(entry("s1", leaving, "active", 0));
+        assertEquals(text(client().call(Client.job("verify", "t0", 5000))), "200 old");
+        tell.countDown();
+        await(() -> discovery.requests().size() == 2);
+        for (int i = 1; i < 6; i++) {
+            assertEquals(text(client().call(Client.job("verify", "t" + i, 5000))), "200 new");
+        }
+        assertEquals(leaving.requests().size(), 1);
+    }
+
+    @Test
+    public void theWatchGoesOnWithin200MillisAndComesBackAfterA503() throws Exception {
+        Peer host = peer(works("s1", done("ok")));
+        List<byte[]> answers = List.of(list(1, false), list(1, false), MessageWriter.response(503, new byte[0], true),
+            list(7, true, entry("s1", host, "active", 0)));
+        List<Long> answered = new ArrayList<>();
+        discovery = peer(r -> {
+            int n = answered.size();
+            answered.add(System.nanoTime() / 1_000_000);
+            return n < answers.size() ? answers.get(n) : null;
+        });
+        start();
+        await(() -> discovery.seen.size() == 5);
+        assertTrue(discovery.seen.get(1).at() - answered.get(0) < 200);
+        assertTrue(discovery.seen.get(2).at() - answered.get(1) < 200);
+        assertEquals(discovery.requests().get(0).target(), "/registry/instances");      // nothing known: all of it
+        assertTrue(discovery.requests().get(4).target().contains("since=7&"));
+        assertEquals(text(client().call(Client.job("verify", "t1", 5000))), "200 ok");
+    }
+
+    /** A cold host bears little: the node sends it no more than its part of the budget, whatever it reports. */
+    @Test
+    public void aColdHostIsNotPushedOver() throws Exception {
+        Peer cold = peer(works("s1", "\"state\":\"started\""));
+        start(entry("s1", cold, "active", System.currentTimeMillis()));
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            clients.add(client().send(Client.job("verify", "t" + i, 1500)));
+        }
+        Thread.sleep(900);
+        assertTrue(cold.requests().size() <= 3, cold.requests().size() + " sent in the first second");
+    }
+
+    // ---- connections --------------------------------------------------------------------------------------
+
+    @Test
+    public void upstreamConnectionsAreReusedAndClosedBeforeTheHostWould() throws Exception {
+        Peer host = peer(works("s1", done("ok")));
+        start(entry("s1", host, "active", 0));
+        for (int i = 0; i < 5; i++) {
+            assertEquals(client().call(Client.job("verify", "t" + i, 5000)).status(), 200);
+        }
+        assertEquals(host.connections.get(), 1);
+        long idleFrom = System.nanoTime();
+        await(() -> host.idleEnds.get() == 1);
+        long idle = (System.nanoTime() - idleFrom) / 1_000_000;
+        assertTrue(idle > 600 && idle < 1400, idle + " ms idle, the host closes at 1500");
+    }
+
+    /** A process that came back does not answer on the connections of the one before. */
+    @Test
+    public void connectionsToTheProcessBeforeARestartAreNotReused() throws Exception {
+        Peer host = peer(works("s1", done("ok")));
+        CountDownLatch restarted = new CountDownLatch(1);
+        discovery = peer(r -> {
+            restarted.await(5, TimeUnit.SECONDS);
+            return r.target().contains("since=1&") ? list(2, false, entry("s1", host, "active", 1000)) : null;
+        });
+        start(entry("s1", host, "active", 0));
+        assertEquals(client().call(Client.job("verify", "t1", 5000)).status(), 200);
+        restarted.countDown();
+        await(() -> host.open.get() == 0);
+        assertEquals(client().call(Client.job("verify", "t2", 5000)).status(), 200);
+        assertEquals(host.connections.get(), 2);
+    }
+
+    /** At the bound, a connection between requests makes room for a new one. */
+    @Test
+    public void atTheDescriptorLimitIdleConnectionsAreShedFirst() throws Exception {
+        startWith(80);                                         // twelve for the downstream side
+        Set<Client> idle = new HashSet<>();
+        for (int i = 0; i < 30; i++) {
+            Client c = client();
+            assertEquals(c.call("GET /health/ready HTTP/1.1\r\n\r\n".getBytes()).status(), 200);
+            idle.add(c);
+        }
+        int ended = 0;
+        for (Client c : idle) {
+            c.socket.setSoTimeout(50);
+            try {
+                ended += c.ended() ? 1 : 0;
+            } catch (java.net.SocketTimeoutException open) {
+                continue;
+            }
+        }
+        assertTrue(ended >= 18, ended + " of 30 shed");
+    }
+
+    // ---- bad input ----------------------------------------------------------------------------------------
+
+    @DataProvider
+    public Object[][] badInput() {
+        String head = " HTTP/1.1\r\nHost: x\r\n";
+        return new Object[][] {
+            {"rubbish\r\n\r\n", 400}, {"GET / HTTP/1.1\r\nA: " + "x".repeat(20_000) + "\r\n\r\n", 431},
+            {"POST /verify" + head + "Content-Length: 70000\r\n\r\n", 413},
+            {"POST /verify" + head + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400},
+            {"POST /verify" + head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
+            {"POST /nothing" + head + "X-Txn: t\r\n\r\n", 404}, {"GET /" + head + "\r\n", 404},
+            {"GET /verify" + head + "X-Txn: t\r\n\r\n", 405}, {"GET /_jobs/news" + head + "\r\n", 405},
+            {"POST /health/ready" + head + "\r\n", 405}, {"POST /verify" + head + "\r\n", 400},
+            {"POST /verify" + head + "X-Txn: a/../b\r\n\r\n", 400},
+            {"POST /verify" + head + "X-Txn: t\r\nX-Remaining: soon\r\n\r\n", 400},
+            {"POST /verify" + head + "X-Txn: t\r\nX-Labels: slots=many\r\n\r\n", 400},
+            {"POST /_jobs/news" + head + "Content-Length: 2\r\n\r\n{}", 400},
+            {"POST /_jobs/news" + head + "Content-Length: 3\r\n\r\n[1]", 400},
+            {"POST /_jobs/news" + head + "Content-Length: 9000\r\n\r\n" + "[".repeat(9000), 400},
+            {"POST /_jobs/news" + head + "Content-Length: 9008\r\n\r\n{\"id\":[" + "[".repeat(9001), 400},
+        };
+    }
+
+    @Test(dataProvider = "badInput")
+    public void badInputIsRejectedAndNeverPassedUpstream(String bytes, int status) throws Exception {
+        Peer host = peer(works("s1", done("ok")));
+        start(entry("s1", host, "active", 0));
+        HttpResponse response = client().call(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        assertEquals(response.status(), status);
+        assertEquals(client().call(Client.job("verify", "t1", 5000)).status(), 200);
+        assertEquals(host.requests().size(), 1);
+    }
+
+    // ---- the end ------------------------------------------------------------------------------------------
+
+    @Test
+    public void aNodeThatEndsAnswersWhatItHasAndWhatStillComes() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Peer one = peer(null);
+        Peer two = peer(null);
+        for (Peer host : List.of(one, two)) {
+            host.answer = r -> {
+                if (r.headers().get("X-Txn").equals("t1")) {
+                    go.await(3, TimeUnit.SECONDS);
+                }
+                return works(host == one ? "s1" : "s2", done("ok")).to(r);
+            };
+        }
+        start(entry("s1", one, "active", 0), entry("s2", two, "active", 0));
+        Client idle = client();
+        assertEquals(idle.call("GET /health/ready HTTP/1.1\r\n\r\n".getBytes()).status(), 200);
+        Client busy = client().send(Client.job("verify", "t1", 5000));
+        await(() -> one.requests().size() + two.requests().size() == 1);
+        CountDownLatch drained = new CountDownLatch(1);
+        Threads.start("drain", () -> {
+            try {
+                node.drain();
+                drained.countDown();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        assertTrue(idle.ended());
+        assertEquals(client().call("GET /health/ready HTTP/1.1\r\n\r\n".getBytes()).status(), 503);
+        assertEquals(text(client().call(Client.job("verify", "t2", 5000))), "200 ok");
+        assertFalse(drained.await(1200, TimeUnit.MILLISECONDS));
+        go.countDown();
+        assertEquals(text(busy.receive()), "200 ok");
+        assertNull(busy.receive());
+        assertTrue(drained.await(2, TimeUnit.SECONDS));
+    }
+}
