--- a/src/main/java/olivechute/Node.java
+++ b/src/main/java/olivechute/Node.java
@@ -40,7 +40,7 @@
         loop.start(dispatcher);
         watch.start();
         front.start(config.listen());
-        Logger.info("{} listens on {}", config.name(), config.listen());
+        Logger.info("{} listens on {}", config.name(), front.address());
     }
 
     /** Where it listens. */
--- a/src/main/java/olivechute/decision/Decide.java
+++ b/src/main/java/olivechute/decision/Decide.java
@@ -994,10 +994,10 @@
     }
 
     /**
-     * When a job that is turned away now would likely find room: what is held has its turn first, each after the
-     * gap that releases of waiting jobs lately took, or that this one waited without one; but after one hold all
-     * that is held now has left or been answered. A surplus job comes into its quota no sooner than that has a
-     * place again. A guess from this node's view, not a promise.
+     * When a job that is turned away now would likely find room: what is held has its turn first, each after
+     * the gap that releases of waiting jobs lately took, or that this one waited without one; but after one
+     * hold all that is held now has left or been answered. A surplus job comes into its quota no sooner than
+     * that has a place again. A guess from this node's view, not a promise.
      */
     private long roomLikelyIn(long now, Job job) {
         double ahead = 0;
