Bound connections by memory too, name the wire's key in every configuration fault

Seen in a probe of 650 and 720 idle connections: 103 KiB each, 118 MB resident at 720 and 127 at the peak, so 960 with a full heap would pass 192 MB. Ruled out as causes: malloc arenas (MALLOC_ARENA_MAX=1 changed nothing), heap size, the compiler; what remains is the stack the JVM touches ahead of native calls.

Faults that the module's own checks find were named by its fields (limits.maxAttempts); now by the key read (ceilings.try_limit).

--- a/src/main/java/olivechute/Node.java
+++ b/src/main/java/olivechute/Node.java
@@ -15,7 +15,6 @@
 
 /** One real node: its parts, wired together. */
 final class Node {
-    private static final int RESERVED = 64;                 // descriptors for files, the listener and discovery
     private static final long SWEEP = 100_000;
     private static final long FRONT_MOVES_ON = 800;         // ms after which no new client comes to a node that ends
     private static final long QUIET = 500_000;
@@ -25,14 +24,13 @@
     private final Dispatcher dispatcher;
 
     Node(NodeConfig config) throws IOException {
-        int descriptors = Math.max(16, config.sockets() - RESERVED);
-        int upstream = descriptors / 4;
-        Writers writers = new Writers(2 * descriptors);
+        int upstream = config.connections() / 4;
+        Writers writers = new Writers(2 * config.connections());
         HostPools pools = new HostPools(loop, writers, new PressureHeader(config.report()),
             config.settings().limits().connIdle(), config.dialTimeout(), upstream);
         ListWatch watch = new ListWatch(loop, config.discovery(), config.known());
         dispatcher = new Dispatcher(loop, config.settings(), config.seed(), pools, watch);
-        front = new HttpFront(loop, writers, config.settings(), config.report(), descriptors - upstream,
+        front = new HttpFront(loop, writers, config.settings(), config.report(), config.connections() - upstream,
             config.openStreams());
         loop.every(SWEEP, pools::sweep);
         loop.every(SWEEP, front::sweep);
--- a/src/main/java/olivechute/benchlink/BenchLink.java
+++ b/src/main/java/olivechute/benchlink/BenchLink.java
@@ -154,7 +154,7 @@
                         case "replace" -> DispatchApi.ListKind.FULL;
                         case "restored" -> DispatchApi.ListKind.RESTORED;
                         case "unavailable" -> DispatchApi.ListKind.FAILED;
-                        default -> throw new BadValueException("scope: unknown word " + e.text("scope"));
+                        default -> throw e.unknown("scope");
                     };
                     List<DispatchApi.Entry> entries = kind == DispatchApi.ListKind.FAILED ? List.of()
                         : pools.get(e.integer("ref"));
--- a/src/main/java/olivechute/config/Fields.java
+++ b/src/main/java/olivechute/config/Fields.java
@@ -33,6 +33,11 @@
         return new BadValueException(name + "." + field + ": " + (has(field) ? "must be " : "missing, must be ") + wanted);
     }
 
+    /** For a word that is none of those that the field may hold. */
+    public BadValueException unknown(String field) {
+        return new BadValueException(name + "." + field + ": unknown word " + text(field));
+    }
+
     public String text(String field) {
         if (fields.get(field) instanceof String s) {
             return s;
--- a/src/main/java/olivechute/config/NodeConfig.java
+++ b/src/main/java/olivechute/config/NodeConfig.java
@@ -7,6 +7,7 @@
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import olivechute.core.HostList;
 import olivechute.decision.DispatchApi.Settings;
@@ -15,8 +16,22 @@
  * All that a node is told: the file named by {@code LB_CONFIG}, and {@code LB_NAME}, {@code LB_LISTEN} and
  * {@code LB_DISCOVERY}, which override it. Read, checked and given defaults here and nowhere else.
  */
-public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-                         HostList known, Settings settings, ReportFields report, int openStreams, long dialTimeout) {
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+                         int connections, HostList known, Settings settings, ReportFields report, int openStreams,
+                         long dialTimeout) {
+    /** Descriptors kept for files, the listener and discovery. */
+    private static final int RESERVED = 64;
+    /** Memory that the process takes without connections: heap at its most and all else, in KiB. */
+    private static final int BASE_KIB = 100 * 1024;
+    /** What a connection adds, nearly all of it its thread's stack; measured 103. */
+    private static final int CONNECTION_KIB = 150;
+    /** Names in the messages of the module's checks, and the keys that they come from. */
+    private static final String[][] KEYS = {
+        {"limits.maxAttempts", "ceilings.try_limit"}, {"limits", "ceilings"}, {"classes.aim", "profiles.goal_time"},
+        {"classes.worth", "profiles.credit"}, {"classes.stretch", "domain.class_stretch"}, {"classes", "profiles"},
+        {"tenants.quotaPerSecond", "accounts.quota_per_s"}, {"tenants", "accounts"},
+        {"tail.part", "result_mix.tail_part"}, {"tail.miss", "result_mix.tail_miss"}, {"reports", "report"},
+    };
 
     /** Reads the configuration that the environment names; a {@link BadValueException} names the faulty key. */
     public static NodeConfig load(Map<String, String> environment) {
@@ -45,19 +60,36 @@
             Address.parse("listen", text(config, environment, "listen", "LB_LISTEN")),
             Address.parse("discovery", text(config, environment, "discovery", "LB_DISCOVERY")),
             seed(config),
-            within("limits.sockets", limits.integerOr("sockets", 1024), 64, 1 << 20),
+            connections(limits),
             config.has("known") ? ListDecoder.list(config.node("known")) : new HostList(0, true, List.of()),
             decode(settings), new ReportFields(settings),
             within("ceilings.open_cap", ceilings.integerOr("open_cap", 4096), 1, Integer.MAX_VALUE),
             within("ceilings.dial_timeout", ceilings.microsOr("dial_timeout", 250_000), 1000, 60_000_000));
     }
 
+    /** As many as both limits bear. */
+    private static int connections(Fields limits) {
+        int sockets = within("limits.sockets", limits.integerOr("sockets", 1024), RESERVED + 16, 1 << 20);
+        int memory = within("limits.memory_mb", limits.integerOr("memory_mb", 192), 112, 1 << 20);
+        return (int) Math.min(sockets - RESERVED, (memory * 1024L - BASE_KIB) / CONNECTION_KIB);
+    }
+
     private static Settings decode(Fields settings) {
         try {
             return SettingsDecoder.settings(settings);
         } catch (IllegalArgumentException e) {
-            throw new BadValueException("settings: " + e.getMessage());
+            throw new BadValueException(wireKey(e.getMessage()));
+        }
+    }
+
+    /** The module's checks name its own fields; the key that was read is the wire's. */
+    private static String wireKey(String message) {
+        String text = message;
+        for (String[] name : KEYS) {
+            text = text.replaceFirst("^" + name[0] + "\\b", name[1]);
         }
+        int end = text.split("[ :]")[0].length();
+        return text.substring(0, end).replaceAll("([A-Z])", "_$1").toLowerCase(Locale.ROOT) + text.substring(end);
     }
 
     private static String text(Fields config, Map<String, String> environment, String key, String variable) {
--- a/src/main/java/olivechute/config/SettingsDecoder.java
+++ b/src/main/java/olivechute/config/SettingsDecoder.java
@@ -23,13 +23,13 @@
                 case "retryable" -> DispatchApi.Effect.SAFE;
                 case "dedup" -> DispatchApi.Effect.KEYED;
                 case "fragile" -> DispatchApi.Effect.UNSAFE;
-                default -> throw new BadValueException("effect: unknown word " + c.text("effect"));
+                default -> throw c.unknown("effect");
             };
             DispatchApi.Group group = switch (c.textOr("group", "cell")) {
                 case "all" -> DispatchApi.Group.ALL;
                 case "zone" -> DispatchApi.Group.ZONE;
                 case "cell" -> DispatchApi.Group.CELL;
-                default -> throw new BadValueException("group: unknown word " + c.text("group"));
+                default -> throw c.unknown("group");
             };
             long deadline = c.micros("deadline");
             int kind = (int) at(kinds, i, -1);
@@ -78,7 +78,7 @@
             case "active" -> DispatchApi.State.ACTIVE;
             case "leaving" -> DispatchApi.State.DRAINING;
             case "left" -> DispatchApi.State.GONE;
-            default -> throw new BadValueException("status: unknown word " + n.text("status"));
+            default -> throw n.unknown("status");
         };
     }
 
--- a/src/main/java/olivechute/downstream/NewsDecoder.java
+++ b/src/main/java/olivechute/downstream/NewsDecoder.java
@@ -26,7 +26,7 @@
             case "failed" -> JobState.FAILED;
             case "returned" -> JobState.RETURNED;
             case "lost" -> JobState.LOST;
-            default -> throw new BadValueException("news.state: unknown word " + news.text("state"));
+            default -> throw news.unknown("state");
         };
         byte[] result = state == JobState.DONE ? news.textOr("result", "").getBytes(StandardCharsets.UTF_8) : null;
         Load load = news.has("load") ? report.named(news.node("load")) : Load.NONE;
--- /dev/null
+++ b/src/test/java/olivechute/config/NodeConfigTest.java
@@ -0,0 +1,79 @@
+package olivechute.config;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The configuration: its defaults, what overrides it, and the key that each fault is blamed on. */
+public class NodeConfigTest {
+    private static NodeConfig read(Map<String, String> environment, String... changes) throws IOException {
+        try (InputStream in = NodeConfigTest.class.getResourceAsStream("/node.json")) {
+            String text = new String(in.readAllBytes(), StandardCharsets.UTF_8).replace("DISCOVERY", "127.0.0.1:8500")
+                .replace("SOCKETS", "1024").replace("KNOWN", "");
+            for (int i = 0; i < changes.length; i += 2) {
+                assertTrue(text.contains(changes[i]), changes[i]);
+                text = text.replace(changes[i], changes[i + 1]);
+            }
+            return NodeConfig.read(Fields.parse("config", text.getBytes(StandardCharsets.UTF_8)), environment);
+        }
+    }
+
+    @Test
+    public void theEnvironmentOverridesAndTheRestIsRead() throws IOException {
+        NodeConfig config = read(Map.of("LB_NAME", "n7", "LB_LISTEN", "127.0.0.2:7070"));
+        assertEquals(config.name() + config.listen().getPort() + config.discovery().getPort(), "n770708500");
+        assertEquals(config.dialTimeout(), 250_000);
+        assertEquals(config.settings().classes().size(), 3);
+        assertEquals(config.seed(), 0x8c1f30d27a5be964L);
+    }
+
+    /** 960 connections fit the descriptors; their threads' stacks did not fit the memory. */
+    @Test
+    public void theTighterOfDescriptorsAndMemoryBoundsTheConnections() throws IOException {
+        assertEquals(read(Map.of()).connections(), (192 - 100) * 1024 / 150);
+        assertEquals(read(Map.of(), "\"memory_mb\":192", "\"memory_mb\":4096").connections(), 1024 - 64);
+    }
+
+    @DataProvider
+    public Object[][] faults() {
+        return new Object[][] {
+            {"\"listen\":\"127.0.0.1:0\"", "\"listen\":\"localhost:1\"", "listen: must be ADDRESS:PORT"},
+            {"\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:70000\"", "listen: must be ADDRESS:PORT"},
+            {"\"listen\":\"127.0.0.1:0\"", "\"other\":1", "config.listen: missing"},
+            {"\"name\":\"n0\"", "\"name\":7", "config.name: must be text"},
+            {"\"8c1f30d27a5be964\"", "\"xyz\"", "config.seed: must be"},
+            {"\"sockets\":1024", "\"sockets\":10", "limits.sockets: must be from"},
+            {"\"memory_mb\":192", "\"memory_mb\":\"much\"", "limits.memory_mb: must be a whole number"},
+            {"\"settings\":{", "\"elsewhere\":{", "config.settings: missing"},
+            {"\"try_limit\":3", "\"try_limit\":0", "ceilings.try_limit: missing or contradictory"},
+            {"\"goal_time\":0.15,\"effect\":\"fragile\"", "\"goal_time\":-1", "profiles.goal_time of pay: "},
+            {"\"quota_per_s\":1000", "\"quota_per_s\":-1", "accounts.quota_per_s of acme: "},
+            {"\"ramp_time\":8.9", "\"ramp_time\":-1", "rules.ramp_time: "},
+            {"\"dial_timeout\":0.25", "\"dial_timeout\":0", "ceilings.dial_timeout: must be from"},
+            {"\"effect\":\"fragile\"", "\"effect\":\"odd\"", "profiles.effect: unknown word odd"},
+            {"\"endpoints\":[]", "\"endpoints\":[{\"name\":\"s\",\"status\":\"lost\"}]", "endpoints.status: unknown word lost"},
+            {"\"endpoints\":[]", "\"endpoints\":[{\"name\":\"s\",\"status\":\"left\",\"address\":\"s:1\"}]", "address: must be"},
+        };
+    }
+
+    @Test(dataProvider = "faults")
+    public void aFaultNamesItsKey(String good, String bad, String message) {
+        String seen = expectThrows(BadValueException.class, () -> read(Map.of(), good, bad)).getMessage();
+        assertTrue(seen.startsWith(message), seen);
+    }
+
+    @Test
+    public void aFileThatCannotBeReadIsBlamedOnItsVariable() {
+        for (Map<String, String> env : java.util.List.of(Map.<String, String>of(), Map.of("LB_CONFIG", "/nowhere"))) {
+            String seen = expectThrows(BadValueException.class, () -> NodeConfig.load(env)).getMessage();
+            assertTrue(seen.startsWith("LB_CONFIG: "), seen);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/olivechute/upstream/PressureHeaderTest.java
@@ -0,0 +1,34 @@
+package olivechute.upstream;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import olivechute.config.Fields;
+import olivechute.config.ReportFields;
+import olivechute.http.ResponseParser;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The load report in an answer's head, as the settings name its fields. */
+public class PressureHeaderTest {
+    @DataProvider
+    public Object[][] reports() {
+        return new Object[][] {
+            {"TEXT x0=2.5, depth=3, load_share=0.61", 2.5, 0.61}, {"TEXT depth=3,x0=1", 1, Double.NaN},
+            {"TEXT x0=many, load_share", Double.NaN, Double.NaN}, {"x0=1", Double.NaN, Double.NaN},
+            {"TEXT ", Double.NaN, Double.NaN},
+        };
+    }
+
+    @Test(dataProvider = "reports")
+    public void reportsAreRead(String text, double free, double busy) throws Exception {
+        Fields settings = Fields.parse("settings", ("{\"domain\":{\"report_x0\":\"free slots\"},"
+            + "\"report\":{\"fields\":[\"x0\",\"depth\"]}}").getBytes(StandardCharsets.UTF_8));
+        ResponseParser parser = new ResponseParser();
+        byte[] answer = ("HTTP/1.1 204 x\r\nX-Pressure: " + text + "\r\n\r\n").getBytes(StandardCharsets.UTF_8);
+        parser.feed(answer, 0, answer.length);
+        var load = new PressureHeader(new ReportFields(settings)).load(parser.take().headers());
+        assertEquals(load.freeSlots(), free);
+        assertEquals(load.busyShare(), busy);
+    }
+}
