Give back connections to silent hosts, bound streams in the core with the module's advice

A silent peer could also hold a writer for 10 s: 0.5 s now. The bound on streams moved from the front, whose 'Retry-After: 1' nobody had estimated, to the dispatcher, which asks the module; half of the downstream connections stay free for news. An Error on the loop ends the process, where it would have left a node that takes requests and answers none.

--- a/src/main/java/olivechute/Node.java
+++ b/src/main/java/olivechute/Node.java
@@ -25,13 +25,15 @@
 
     Node(NodeConfig config) throws IOException {
         int upstream = config.connections() / 4;
+        int downstream = config.connections() - upstream;
+        // Half of the downstream connections stay free for news: without it no stream would end.
+        int streams = Math.min(config.openStreams(), Math.max(1, downstream / 2));
         Writers writers = new Writers(2 * config.connections());
         HostPools pools = new HostPools(loop, writers, new PressureHeader(config.report()),
             config.settings().limits().connIdle(), config.dialTimeout(), upstream);
         ListWatch watch = new ListWatch(loop, config.discovery(), config.known());
-        dispatcher = new Dispatcher(loop, config.settings(), config.seed(), pools, watch);
-        front = new HttpFront(loop, writers, config.settings(), config.report(), config.connections() - upstream,
-            config.openStreams());
+        dispatcher = new Dispatcher(loop, config.settings(), config.seed(), pools, watch, streams);
+        front = new HttpFront(loop, writers, config.settings(), config.report(), downstream);
         loop.every(SWEEP, pools::sweep);
         loop.every(SWEEP, front::sweep);
         loop.post(new Event.Task(() -> dispatcher.start(config.known())));
--- a/src/main/java/olivechute/core/Dispatcher.java
+++ b/src/main/java/olivechute/core/Dispatcher.java
@@ -29,14 +29,17 @@
     private final Discovery discovery;
     private final Settings settings;
     private final DispatchApi.Events module;
+    private final int openStreams;
     private final Map<String, Stream> streams = new HashMap<>();
     private final Map<String, DispatchApi.State> listed = new HashMap<>();
 
-    public Dispatcher(EventLoop loop, Settings settings, long seed, Upstreams upstreams, Discovery discovery) {
+    public Dispatcher(EventLoop loop, Settings settings, long seed, Upstreams upstreams, Discovery discovery,
+                      int openStreams) {
         this.loop = loop;
         this.settings = settings;
         this.upstreams = upstreams;
         this.discovery = discovery;
+        this.openStreams = openStreams;
         this.module = new Decide(settings, seed, this);
     }
 
@@ -79,6 +82,10 @@
             return;
         }
         long now = loop.now();
+        if (streams.size() >= openStreams) {
+            e.downstream().refused(module.roomLikelyIn(now));
+            return;
+        }
         long giveUp = e.takenAt() + e.request().left();
         DispatchApi.Request r = e.request();
         Stream stream = new Stream(id, e.payload(), e.downstream(), giveUp);
--- a/src/main/java/olivechute/core/EventLoop.java
+++ b/src/main/java/olivechute/core/EventLoop.java
@@ -81,6 +81,10 @@
             } catch (RuntimeException e) {
                 // One faulty event must not take the node, and all other streams, down with it.
                 Logger.error(e, "event failed");
+            } catch (Error e) {
+                // A node whose loop is gone would take requests and answer none: better to end and be started anew.
+                Logger.error(e, "event loop ends");
+                Runtime.getRuntime().halt(70);
             }
         }
     }
--- a/src/main/java/olivechute/decision/Decide.java
+++ b/src/main/java/olivechute/decision/Decide.java
@@ -984,9 +984,8 @@
         boolean refusable = job.out == 0 && (job.mayHaveRun == null || job.kind.effect() == Effect.SAFE
             || job.kind.effect() == Effect.KEYED && job.kind.group() == Group.ALL);
         if (refusable) {
-            Limits limits = settings.limits();
             job.row.tokens += job.surplus ? 0 : 1;
-            actions.refuse(job.request.id(), Math.min(limits.maxRetryAfter(), roomLikelyIn(now, job)));
+            actions.refuse(job.request.id(), roomLikelyIn(now, job));
         } else {
             actions.fail(job.request.id());
         }
@@ -1000,17 +999,29 @@
      * that has a place again. A guess from this node's view, not a promise.
      */
     private long roomLikelyIn(long now, Job job) {
+        double room = turn(now - Math.max(releasedAt, job.arrived), Math.max(0, job.holdUntil - job.arrived));
+        if (job.surplus && job.row.rate > 0) {
+            room = Math.max(room, (1 - job.row.tokens) / job.row.rate * 1e6);
+        }
+        return advice(room);
+    }
+
+    @Override
+    public long roomLikelyIn(long now) {
+        return advice(turn(0, Double.MAX_VALUE));
+    }
+
+    private double turn(double waited, double hold) {
         double ahead = 0;
         for (Row r : rows.values()) {
             ahead += r.held;
         }
-        double waited = now - Math.max(releasedAt, job.arrived);
         double gap = Double.isNaN(releaseGap) ? waited : Math.max(releaseGap, waited);
-        double room = gap + Math.min(ahead * gap, Math.max(0, job.holdUntil - job.arrived));
-        if (job.surplus && job.row.rate > 0) {
-            room = Math.max(room, (1 - job.row.tokens) / job.row.rate * 1e6);
-        }
-        return Math.max(tick, (long) Math.min(Long.MAX_VALUE / 2, room));
+        return gap + Math.min(ahead * gap, hold);
+    }
+
+    private long advice(double room) {
+        return (long) Math.min(settings.limits().maxRetryAfter(), Math.max(tick, room));
     }
 
     private void forget(Job job) {
--- a/src/main/java/olivechute/decision/DispatchApi.java
+++ b/src/main/java/olivechute/decision/DispatchApi.java
@@ -178,6 +178,9 @@
         /** The client left; nothing is owed any more. */
         void hangup(long now, String id);
 
+        /** When room is likely for a request that the host itself turns away now; asked, not told. */
+        long roomLikelyIn(long now);
+
         /** A timer came due. */
         void timer(long now, long mark);
     }
--- a/src/main/java/olivechute/discovery/ListWatch.java
+++ b/src/main/java/olivechute/discovery/ListWatch.java
@@ -26,6 +26,7 @@
     private static final int CONNECT_MILLIS = 1000;
     private static final int WAIT_MILLIS = 10_000;
     private static final int GRACE_MILLIS = 2500;           // for an answer after the wait; then discovery is silent
+    private static final long PAUSE = 50_000_000;           // well within the 200 ms that keep a watch alive
     private static final long UNKNOWN = -1;                 // no version held: ask for the whole list
 
     private final EventLoop loop;
@@ -56,13 +57,19 @@
             wanted.acquireUninterruptibly();
             try {
                 for (;;) {
+                    long before = System.nanoTime();
                     HostList list = call();
+                    if (list.hosts().isEmpty() && list.version() == version && System.nanoTime() - before < PAUSE) {
+                        Thread.sleep(PAUSE / 1_000_000);    // a service that never waits is not to be asked without end
+                    }
                     boolean older = list.version() < version && !list.whole();
                     version = older ? UNKNOWN : list.version();
                     if (!older) {
                         loop.post(new Event.ListChanged(list));
                     }
                 }
+            } catch (InterruptedException e) {
+                return;
             } catch (IOException | HttpException | BadValueException e) {
                 Logger.warn("discovery {}: {}", address, e.getMessage());
                 version = e instanceof BadValueException ? UNKNOWN : version;
--- a/src/main/java/olivechute/downstream/DownstreamConnection.java
+++ b/src/main/java/olivechute/downstream/DownstreamConnection.java
@@ -6,6 +6,7 @@
 import olivechute.core.Event;
 import olivechute.http.HttpException;
 import olivechute.http.HttpRequest;
+import olivechute.http.MessageWriter;
 import olivechute.http.RequestParser;
 import olivechute.net.Threads;
 import org.tinylog.Logger;
@@ -22,6 +23,7 @@
     private boolean writing;
     private boolean midway;
     private boolean closed;
+    private long messageSince;
     private long since;                 // its last change of state
 
     DownstreamConnection(HttpFront front, Socket socket) {
@@ -79,10 +81,14 @@
                 if (closed) {
                     return;
                 }
-                midway = true;
                 since = front.loop.now();
+                messageSince = midway ? messageSince : since;
+                midway = true;
             }
             at += parser.feed(buffer, at, n - at);
+            if (parser.awaitsGoOn()) {
+                socket.getOutputStream().write(MessageWriter.response(100, null, true));
+            }
             if (parser.complete()) {
                 HttpRequest message = parser.take();
                 byte[] reply = front.route(message, this);
@@ -107,8 +113,8 @@
             socket.shutdownOutput();
             socket.setSoTimeout(500);
             byte[] rest = new byte[4096];
-            int seen = 0;
-            for (int n = socket.getInputStream().read(rest); n >= 0 && seen < DISCARD; seen += n) {
+            int n = 0;
+            for (int seen = 0; n >= 0 && seen < DISCARD; seen += n) {
                 n = socket.getInputStream().read(rest);
             }
         } catch (IOException e) {
@@ -170,11 +176,11 @@
         return true;
     }
 
-    /** Closes it if a message or a write has been under way since before that moment. */
-    void closeIfStalled(long before) {
+    /** Closes it if a message has been under way since before the one moment, or a write since before the other. */
+    void closeIfStalled(long messageBefore, long writeBefore) {
         boolean stalled;
         synchronized (this) {
-            stalled = (midway || writing) && since < before;
+            stalled = midway && messageSince < messageBefore || writing && since < writeBefore;
         }
         if (stalled) {
             close();
--- a/src/main/java/olivechute/downstream/HttpFront.java
+++ b/src/main/java/olivechute/downstream/HttpFront.java
@@ -23,13 +23,13 @@
 /** The platform's protocol on the downstream side: clients' jobs, news of jobs, and whether this node is ready. */
 public final class HttpFront {
     private static final int BACKLOG = 1024;
-    private static final long STALLED = 10_000_000;         // a message or a write that takes longer is given up
+    private static final long STALLED = 10_000_000;         // a message that takes longer is given up
+    private static final long WRITE_LIMIT = 500_000;        // so is a peer that reads nothing: it holds up a writer
     private static final long IDLE = 120_000_000;
 
     final EventLoop loop;
     final Writers writers;
     private final int most;
-    private final int openStreams;
     private final NewsDecoder news;
     private final StreamDecoder streams;
     private final ServerSocket server = new ServerSocket();
@@ -39,13 +39,12 @@
     private volatile boolean draining;
     private volatile long lastTaken;
 
-    /** {@code most} bounds the connections and {@code openStreams} the streams that are owed an answer. */
-    public HttpFront(EventLoop loop, Writers writers, Settings settings, ReportFields report, int most,
-                     int openStreams) throws IOException {
+    /** {@code most} bounds the connections. */
+    public HttpFront(EventLoop loop, Writers writers, Settings settings, ReportFields report, int most)
+        throws IOException {
         this.loop = loop;
         this.writers = writers;
         this.most = most;
-        this.openStreams = openStreams;
         this.news = new NewsDecoder(report);
         this.streams = new StreamDecoder(settings);
     }
@@ -121,7 +120,7 @@
             if (draining || now - c.since() > IDLE) {
                 c.closeIfIdle();
             }
-            c.closeIfStalled(now - STALLED);
+            c.closeIfStalled(now - STALLED, now - WRITE_LIMIT);
         }
     }
 
@@ -157,9 +156,6 @@
 
     private byte[] open(HttpRequest message, DownstreamConnection connection) throws LocalReply {
         var request = streams.decode(message);
-        if (open.get() >= openStreams) {
-            return MessageWriter.response(503, new byte[0], message.keepAlive() && keeps(), "Retry-After", "1");
-        }
         open.incrementAndGet();
         lastTaken = loop.now();
         HttpStream stream = new HttpStream(connection, request.id(), message.keepAlive(), open);
--- a/src/main/java/olivechute/http/MessageParser.java
+++ b/src/main/java/olivechute/http/MessageParser.java
@@ -28,6 +28,7 @@
     private boolean oldVersion;
     private byte[] whole;
     private boolean lastsUntilClose;
+    private boolean toldToGoOn;
 
     /** Reads a start line. */
     abstract void start(String text) throws HttpException;
@@ -72,6 +73,13 @@
         return state == State.DONE;
     }
 
+    /** True once for a message whose sender waits to be told to go on before it sends the body. */
+    public final boolean awaitsGoOn() {
+        boolean awaits = state == State.BODY && body.size() == 0 && !toldToGoOn && headers.has("Expect", "100-continue");
+        toldToGoOn |= awaits;
+        return awaits;
+    }
+
     /** True while a message has begun and not ended. */
     public final boolean midway() {
         return state != State.DONE && (state != State.START || headSize > 0);
@@ -98,6 +106,7 @@
         body = null;
         whole = null;
         lastsUntilClose = false;
+        toldToGoOn = false;
         return message;
     }
 
--- a/src/main/java/olivechute/http/RequestParser.java
+++ b/src/main/java/olivechute/http/RequestParser.java
@@ -29,6 +29,7 @@
 
     @Override
     HttpRequest message(Headers headers, byte[] body, boolean keepAlive) {
-        return new HttpRequest(method, target, headers, body, keepAlive);
+        // The answer to a HEAD must have no body; one that has ends with its connection, so it misleads nobody.
+        return new HttpRequest(method, target, headers, body, keepAlive && !method.equals("HEAD"));
     }
 }
--- a/src/main/java/olivechute/upstream/Exchange.java
+++ b/src/main/java/olivechute/upstream/Exchange.java
@@ -1,12 +1,18 @@
 package olivechute.upstream;
 
-import java.nio.charset.StandardCharsets;
 import olivechute.core.UpstreamRequest;
 import olivechute.http.MessageWriter;
 
 /** What one connection carries at a time: an upstream request, or the word that gives one up. */
 record Exchange(UpstreamRequest request, boolean cancels, long since) {
-    private static final byte[] NOTHING = "".getBytes(StandardCharsets.ISO_8859_1);
+    private static final byte[] NOTHING = new byte[0];
+    private static final long CANCEL_LIMIT = 1_000_000;
+    private static final long GRACE = 500_000;
+
+    /** When an answer is no longer waited for; the loop has given the request up by then. */
+    long answerBy() {
+        return since + (cancels ? CANCEL_LIMIT : request.patience() + GRACE);
+    }
 
     byte[] bytes(String host, long now) {
         if (cancels) {
--- a/src/main/java/olivechute/upstream/HostPool.java
+++ b/src/main/java/olivechute/upstream/HostPool.java
@@ -12,6 +12,7 @@
 final class HostPool {
     final InetSocketAddress address;
     long startedAt;
+    boolean listed = true;
     private final Set<UpstreamConnection> all = new HashSet<>();
     private final Deque<UpstreamConnection> idle = new ArrayDeque<>();  // the one used last comes first
 
@@ -55,6 +56,15 @@
         return oldest != null;
     }
 
+    /** Closes those that have waited too long for their peer. */
+    void closeStuck(long now) {
+        List<UpstreamConnection> carrying;
+        synchronized (this) {
+            carrying = new ArrayList<>(all);
+        }
+        carrying.forEach(c -> c.closeIfStuck(now));
+    }
+
     /** Closes those idle since before a moment; 0 for all idle ones. */
     void closeIdle(long before) {
         List<UpstreamConnection> old = new ArrayList<>(0);
--- a/src/main/java/olivechute/upstream/HostPools.java
+++ b/src/main/java/olivechute/upstream/HostPools.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import olivechute.core.Event;
@@ -17,7 +18,7 @@
 
 /** The connections to the upstream hosts: reused before new ones are dialled, bounded, closed before the host does. */
 public final class HostPools implements Upstreams {
-    /** Hosts once listed whose address is remembered, in case they are still sent to. */
+    /** Hosts no longer listed whose address is remembered, in case they are still sent to. */
     private static final int REMEMBERED = 256;
 
     private final EventLoop loop;
@@ -42,23 +43,26 @@
 
     @Override
     public void listed(HostList list) {
+        if (list.whole()) {
+            pools.values().forEach(pool -> pool.listed = false);
+        }
         for (UpstreamHost host : list.hosts()) {
             HostPool pool = pools.get(host.entry().worker());
             if (pool == null || !pool.address.equals(host.address())) {
                 closeIdle(host.entry().worker());
-                pools.put(host.entry().worker(), new HostPool(host.address(), host.entry().startedAt()));
+                pool = new HostPool(host.address(), host.entry().startedAt());
+                pools.put(host.entry().worker(), pool);
             } else if (pool.startedAt != host.entry().startedAt()) {
                 // It started anew: connections to the process before it may stay open and silent.
                 pool.startedAt = host.entry().startedAt();
                 pool.closeIdle(0);
             }
-            if (host.entry().state() == State.GONE) {
-                closeIdle(host.entry().worker());
-            }
+            pool.listed = host.entry().state() != State.GONE;
         }
-        for (var it = pools.values().iterator(); pools.size() > REMEMBERED && it.hasNext();) {
-            it.next().closeIdle(0);
-            it.remove();
+        List<HostPool> unlisted = pools.values().stream().filter(pool -> !pool.listed).toList();
+        unlisted.forEach(pool -> pool.closeIdle(0));
+        if (unlisted.size() > REMEMBERED) {
+            pools.values().removeIf(pool -> !pool.listed && pool.open() == 0);
         }
     }
 
@@ -96,7 +100,13 @@
             failed(exchange, Outcome.CONNECT_FAILED);
             return;
         }
-        new UpstreamConnection(this, pool, exchange).start();
+        UpstreamConnection connection = new UpstreamConnection(this, pool, exchange);
+        try {
+            connection.start();
+        } catch (OutOfMemoryError noThread) {
+            // The system gives no thread: this request could not connect, the loop and all else go on.
+            connection.close();
+        }
     }
 
     private int open() {
@@ -120,9 +130,7 @@
         long now = loop.now();
         for (HostPool pool : pools.values()) {
             pool.closeIdle(idleLimit == 0 ? 0 : now - idleLimit);
-        }
-        for (UpstreamConnection connection : carrying.values()) {
-            connection.closeIfStuck(now);
+            pool.closeStuck(now);
         }
     }
 
--- a/src/main/java/olivechute/upstream/UpstreamConnection.java
+++ b/src/main/java/olivechute/upstream/UpstreamConnection.java
@@ -156,7 +156,8 @@
     void closeIfStuck(long now) {
         boolean stuck;
         synchronized (this) {
-            stuck = current != null && !written && now - begunAt > WRITE_LIMIT;
+            // A machine that is cut off says nothing: neither a write nor a wait may last for good.
+            stuck = current != null && (!written && now - begunAt > WRITE_LIMIT || now > current.answerBy());
         }
         if (stuck) {
             close();
--- a/src/test/java/olivechute/NodeTest.java
+++ b/src/test/java/olivechute/NodeTest.java
@@ -316,6 +316,52 @@
         assertTrue(idle > 600 && idle < 1400, idle + " ms idle, the host closes at 1500");
     }
 
+    /** A machine cut off in between answers neither the request nor the word that gives it up. */
+    @Test
+    public void connectionsToASilentHostAreGivenBack() throws Exception {
+        Peer host = peer(r -> {
+            if (r.method().equals("POST")) {
+                tell(r.headers().get("X-Txn"), "s1", "\"state\":\"started\"");
+            }
+            return null;
+        });
+        start(entry("s1", host, "active", 0));
+        assertEquals(client().call(Client.job("pay", "t1", 500)).status(), 502);
+        await(() -> host.requests().size() == 2);
+        Thread.sleep(2300);
+        assertEquals(host.open.get(), 0);
+    }
+
+    /** The node's own bound on streams: refused at once, with the module's advice. */
+    @Test
+    public void streamsOverTheBoundAreRefused() throws Exception {
+        Peer host = peer(r -> ACCEPTED);
+        startWith(80, entry("s1", host, "active", 0));         // twelve downstream connections, six streams
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 7; i++) {
+            clients.add(client().send(Client.job("verify", "t" + i, 3000)));
+            Thread.sleep(20);
+        }
+        long before = System.nanoTime();
+        HttpResponse refused = clients.get(6).receive();
+        assertTrue(System.nanoTime() - before < 150_000_000L);     // the module would hold it for longer
+        assertEquals(refused.status(), 503);
+        assertTrue(Double.parseDouble(refused.headers().get("Retry-After")) > 0);
+        tell("t0", "s1", done("ok"));                          // news still get through
+        assertEquals(text(clients.get(0).receive()), "200 ok");
+    }
+
+    @Test
+    public void aClientThatAsksFirstIsToldToGoOn() throws Exception {
+        Peer host = peer(works("s1", done("ok")));
+        start(entry("s1", host, "active", 0));
+        Client client = client();
+        HttpResponse goOn = client.call(("POST /verify HTTP/1.1\r\nX-Txn: t1\r\nExpect: 100-continue\r\n"
+            + "Content-Length: 3\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        assertEquals(goOn.status(), 100);
+        assertEquals(text(client.call("doc".getBytes(StandardCharsets.ISO_8859_1))), "200 ok");
+    }
+
     /** A process that came back does not answer on the connections of the one before. */
     @Test
     public void connectionsToTheProcessBeforeARestartAreNotReused() throws Exception {
--- a/src/test/java/olivechute/http/ParserTableTest.java
+++ b/src/test/java/olivechute/http/ParserTableTest.java
@@ -16,6 +16,7 @@
         return new Object[][] {
             {"GET / HTTP/1.1" + END, "GET / '' keep"},
             {"\r\nGET / HTTP/1.1" + END, "GET / '' keep"},
+            {"HEAD / HTTP/1.1" + END, "HEAD / '' close"},
             {"GET / HTTP/1.0" + END, "GET / '' close"},
             {"GET / HTTP/1.0\r\nConnection: Keep-Alive" + END, "GET / '' keep"},
             {"GET / HTTP/1.1\r\nConnection: x, Close" + END, "GET / '' close"},
