Keep new connections while draining, and never lose track of what a connection carries

HostPools.carrying could keep an entry for good when a connection ended between taking an exchange and being noted for it (UpstreamConnection.begin); the note comes first now. A host whose address changes keeps its pool, so its open connections are still swept. LocalReply carries the Allow it needs in place of a guess from its text. A probe that the module asks for is logged, no longer thrown at it.

--- a/src/main/java/olivechute/core/Dispatcher.java
+++ b/src/main/java/olivechute/core/Dispatcher.java
@@ -253,7 +253,7 @@
 
     @Override
     public void probe(String worker) {
-        throw new UnsupportedOperationException("nodes may not probe upstream hosts");
+        Logger.warn("no probe of {}: nodes may not probe upstream hosts", worker);
     }
 
     @Override
--- a/src/main/java/olivechute/downstream/DownstreamConnection.java
+++ b/src/main/java/olivechute/downstream/DownstreamConnection.java
@@ -49,6 +49,11 @@
         return since;
     }
 
+    /** True once a message has begun on it. */
+    synchronized boolean used() {
+        return messageSince > 0;
+    }
+
     synchronized boolean idle() {
         return stream == null && !writing && !midway;
     }
--- a/src/main/java/olivechute/downstream/HttpFront.java
+++ b/src/main/java/olivechute/downstream/HttpFront.java
@@ -13,6 +13,7 @@
 import olivechute.config.ReportFields;
 import olivechute.core.Event;
 import olivechute.core.EventLoop;
+import olivechute.core.Payload;
 import olivechute.decision.DispatchApi.Settings;
 import olivechute.http.HttpRequest;
 import olivechute.http.MessageWriter;
@@ -26,6 +27,7 @@
     private static final long STALLED = 10_000_000;         // a message that takes longer is given up
     private static final long WRITE_LIMIT = 500_000;        // so is a peer that reads nothing: it holds up a writer
     private static final long IDLE = 120_000_000;
+    private static final long FRESH = 500_000;
 
     final EventLoop loop;
     final Writers writers;
@@ -117,7 +119,8 @@
     public void sweep() {
         long now = loop.now();
         for (DownstreamConnection c : connections) {
-            if (draining || now - c.since() > IDLE) {
+            // While draining, one that is new may be about to send its first request.
+            if (now - c.since() > IDLE || draining && (c.used() || now - c.since() > FRESH)) {
                 c.closeIfIdle();
             }
             c.closeIfStalled(now - STALLED, now - WRITE_LIMIT);
@@ -138,17 +141,17 @@
         try {
             switch (message.path()) {
                 case "/health/ready":
-                    method(message, "GET");
+                    LocalReply.require(message, "GET");
                     return MessageWriter.response(ready ? 200 : 503, new byte[0], keep);
                 case "/_jobs/news":
-                    method(message, "POST");
+                    LocalReply.require(message, "POST");
                     loop.post(news.decode(message.body()));
                     return MessageWriter.response(204, null, keep);
                 default:
                     return open(message, connection);
             }
         } catch (LocalReply e) {
-            return text(e.status, e.getMessage(), keep);
+            return text(e.status, e.getMessage(), keep, "Allow", e.allow);
         } catch (BadValueException | IOException e) {
             return text(400, "news: not understood", keep);
         }
@@ -160,19 +163,12 @@
         lastTaken = loop.now();
         HttpStream stream = new HttpStream(connection, request.id(), message.keepAlive(), open);
         connection.opened(stream);
-        loop.post(new Event.StreamOpened(request, new olivechute.core.Payload(message.target(),
+        loop.post(new Event.StreamOpened(request, new Payload(message.target(),
             message.headers().get("Idempotency-Key"), message.body()), stream, lastTaken));
         return null;
     }
 
-    private static void method(HttpRequest message, String only) throws LocalReply {
-        if (!message.method().equals(only)) {
-            throw new LocalReply(405, only + " only");
-        }
-    }
-
-    static byte[] text(int status, String text, boolean keep) {
-        return MessageWriter.response(status, (text + "\n").getBytes(StandardCharsets.UTF_8), keep,
-            "Allow", status == 405 ? text.startsWith("GET") ? "GET" : "POST" : null);
+    static byte[] text(int status, String text, boolean keep, String... fields) {
+        return MessageWriter.response(status, (text + "\n").getBytes(StandardCharsets.UTF_8), keep, fields);
     }
 }
--- a/src/main/java/olivechute/downstream/HttpStream.java
+++ b/src/main/java/olivechute/downstream/HttpStream.java
@@ -1,6 +1,5 @@
 package olivechute.downstream;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
 import olivechute.core.Downstream;
@@ -47,8 +46,7 @@
     public void refused(long retryAfter) {
         boolean keep = keep();
         String advice = retryAfter > 0 ? String.format(Locale.ROOT, "%.3f", retryAfter / 1e6) : null;
-        reply(MessageWriter.response(503, "no room\n".getBytes(StandardCharsets.UTF_8), keep,
-            "Retry-After", advice), keep);
+        reply(HttpFront.text(503, "no room", keep, "Retry-After", advice), keep);
     }
 
     @Override
--- a/src/main/java/olivechute/downstream/StreamDecoder.java
+++ b/src/main/java/olivechute/downstream/StreamDecoder.java
@@ -26,9 +26,7 @@
         if (kind == null) {
             throw new LocalReply(404, "no such class");
         }
-        if (!message.method().equals("POST")) {
-            throw new LocalReply(405, "jobs come by POST");
-        }
+        LocalReply.require(message, "POST");
         String id = message.headers().get("X-Txn");
         if (id == null || !ID.matcher(id).matches()) {
             throw new LocalReply(400, "X-Txn: missing or not an id");
--- a/src/main/java/olivechute/upstream/HostPool.java
+++ b/src/main/java/olivechute/upstream/HostPool.java
@@ -10,9 +10,9 @@
 
 /** The connections to one upstream host. */
 final class HostPool {
-    final InetSocketAddress address;
-    long startedAt;
-    boolean listed = true;
+    volatile InetSocketAddress address;
+    private long startedAt;
+    boolean listed = true;          // on the event loop only
     private final Set<UpstreamConnection> all = new HashSet<>();
     private final Deque<UpstreamConnection> idle = new ArrayDeque<>();  // the one used last comes first
 
@@ -21,6 +21,14 @@
         this.startedAt = startedAt;
     }
 
+    /** Takes where it is and when it started from the list; true if either is new. */
+    boolean moved(InetSocketAddress to, long started) {
+        boolean moved = !address.equals(to) || startedAt != started;
+        address = to;
+        startedAt = started;
+        return moved;
+    }
+
     synchronized int open() {
         return all.size();
     }
--- a/src/main/java/olivechute/upstream/HostPools.java
+++ b/src/main/java/olivechute/upstream/HostPools.java
@@ -48,13 +48,11 @@
         }
         for (UpstreamHost host : list.hosts()) {
             HostPool pool = pools.get(host.entry().worker());
-            if (pool == null || !pool.address.equals(host.address())) {
-                closeIdle(host.entry().worker());
+            if (pool == null) {
                 pool = new HostPool(host.address(), host.entry().startedAt());
                 pools.put(host.entry().worker(), pool);
-            } else if (pool.startedAt != host.entry().startedAt()) {
+            } else if (pool.moved(host.address(), host.entry().startedAt())) {
                 // It started anew: connections to the process before it may stay open and silent.
-                pool.startedAt = host.entry().startedAt();
                 pool.closeIdle(0);
             }
             pool.listed = host.entry().state() != State.GONE;
@@ -125,7 +123,7 @@
         }
     }
 
-    /** Closes what has stood idle too long and what is stuck in a write; to be called now and then on the loop. */
+    /** Closes what has stood idle too long and what waits too long for its host; to be called now and then on the loop. */
     public void sweep() {
         long now = loop.now();
         for (HostPool pool : pools.values()) {
--- a/src/main/java/olivechute/upstream/UpstreamConnection.java
+++ b/src/main/java/olivechute/upstream/UpstreamConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import olivechute.core.UpstreamRequest;
 import olivechute.decision.DispatchApi.Outcome;
 import olivechute.http.HttpException;
 import olivechute.http.HttpResponse;
@@ -47,15 +48,20 @@
 
     /** Takes an exchange on an idle connection; false if it has ended meanwhile. */
     boolean begin(Exchange exchange) {
+        pools.carries(exchange, this);      // first: the connection's end may come at any moment and take it back
+        boolean ended;
         synchronized (this) {
-            if (closed) {
-                return false;
+            ended = closed;
+            if (!ended) {
+                current = exchange;
+                written = false;
+                begunAt = pools.now();
             }
-            current = exchange;
-            written = false;
-            begunAt = pools.now();
         }
-        pools.carries(exchange, this);
+        if (ended) {
+            pools.carriesNoMore(exchange, this);
+            return false;
+        }
         if (!pools.writers.offer(() -> write(exchange))) {
             close();
         }
@@ -146,7 +152,7 @@
     }
 
     /** Gives up a request that is not accepted yet. */
-    void abandon(olivechute.core.UpstreamRequest request) {
+    void abandon(UpstreamRequest request) {
         Exchange exchange = current();
         if (exchange != null && exchange.request() == request) {
             close();
--- a/src/test/java/olivechute/NodeTest.java
+++ b/src/test/java/olivechute/NodeTest.java
@@ -465,7 +465,9 @@
         });
         assertTrue(idle.ended());
         assertEquals(client().call("GET /health/ready HTTP/1.1\r\n\r\n".getBytes()).status(), 503);
-        assertEquals(text(client().call(Client.job("verify", "t2", 5000))), "200 ok");
+        Client fresh = client();
+        Thread.sleep(250);                                     // connected, its first request still on its way
+        assertEquals(text(fresh.call(Client.job("verify", "t2", 5000))), "200 ok");
         assertFalse(drained.await(1200, TimeUnit.MILLISECONDS));
         go.countDown();
         assertEquals(text(busy.receive()), "200 ok");
