--- a/src/main/java/olivechute/config/Address.java
+++ b/src/main/java/olivechute/config/Address.java
@@ -5,10 +5,11 @@
 import java.net.UnknownHostException;
 
 /** Reads {@code HOST:PORT}, where the host is a literal address: nothing here may wait for a name service. */
-final class Address {
+public final class Address {
     private Address() { }
 
-    static InetSocketAddress parse(String key, String text) {
+    /** The address that a text holds; {@code key} is blamed if it holds none. */
+    public static InetSocketAddress parse(String key, String text) {
         int colon = text.lastIndexOf(':');
         String host = colon < 0 ? "" : text.substring(0, colon);
         try {
--- a/src/main/java/olivechute/config/ListDecoder.java
+++ b/src/main/java/olivechute/config/ListDecoder.java
@@ -21,7 +21,8 @@
             DispatchApi.Entry entry = new DispatchApi.Entry(e.text("name"), e.textOr("zone", ""), e.textOr("type", ""),
                 (int) e.integerOr("group", 0), SettingsDecoder.state(e), e.numberOr("weight", 1),
                 e.integerOr("since_ms", 0) * 1000);
-            hosts.add(new UpstreamHost(entry, Address.parse("address", e.text("address"))));
+            Address.parse("address", e.text("address"));        // a list with a bad one is no list
+            hosts.add(new UpstreamHost(entry, e.text("address")));
         }
         return new HostList(n.integer("index"), n.flag("snapshot"), hosts);
     }
--- a/src/main/java/olivechute/upstream/HostPools.java
+++ b/src/main/java/olivechute/upstream/HostPools.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import olivechute.config.Address;
 import olivechute.core.Event;
 import olivechute.core.EventLoop;
 import olivechute.core.HostList;
@@ -31,7 +32,8 @@
     private final Map<String, UpstreamConnection> carrying = new ConcurrentHashMap<>();
 
     /** {@code connIdle} is when hosts close idle connections and {@code most} bounds the connections, both told. */
-    public HostPools(EventLoop loop, Writers writers, PressureHeader pressure, long connIdle, long dialTimeout, int most) {
+    public HostPools(EventLoop loop, Writers writers, PressureHeader pressure, long connIdle, long dialTimeout,
+                     int most) {
         this.loop = loop;
         this.writers = writers;
         this.pressure = pressure;
@@ -48,10 +50,11 @@
         }
         for (UpstreamHost host : list.hosts()) {
             HostPool pool = pools.get(host.entry().worker());
+            InetSocketAddress address = Address.parse("address", host.address());
             if (pool == null) {
-                pool = new HostPool(host.address(), host.entry().startedAt());
+                pool = new HostPool(address, host.entry().startedAt());
                 pools.put(host.entry().worker(), pool);
-            } else if (pool.moved(host.address(), host.entry().startedAt())) {
+            } else if (pool.moved(address, host.entry().startedAt())) {
                 // It started anew: connections to the process before it may stay open and silent.
                 pool.closeIdle(0);
             }
@@ -123,7 +126,7 @@
         }
     }
 
-    /** Closes what has stood idle too long and what waits too long for its host; to be called now and then on the loop. */
+    /** Closes what has stood idle too long and what waits too long for its host; to be called on the loop. */
     public void sweep() {
         long now = loop.now();
         for (HostPool pool : pools.values()) {
--- a/src/test/java/olivechute/Peer.java
+++ b/src/test/java/olivechute/Peer.java
@@ -21,7 +21,7 @@
         byte[] to(HttpRequest request) throws Exception;
     }
 
-    /** A request and when its first bytes came. */
+    /** A request and when it had come, in milliseconds. */
     record Seen(HttpRequest request, long at) { }
 
     final List<Seen> seen = new CopyOnWriteArrayList<>();
@@ -88,7 +88,7 @@
         return address().getAddress().getHostAddress() + ":" + address().getPort();
     }
 
-    /** Ids and methods in order of arrival. */
+    /** The requests in order of arrival. */
     List<HttpRequest> requests() {
         return seen.stream().map(Seen::request).toList();
     }
