Count what a request costs a node: a rig of stand-ins round a node of its own process

Need: the ordinary path is to be made cheaper and kept cheap, and nothing in the repository could say what it costs.

Change: olivechute.cost, run by `java -jar target/olivechute.jar cost`. Stand-in clients, hosts and discovery on loopback drive a node in another process through eleven scenarios. The command line moves to picocli; `serve` and `benchlink` as the platform calls them never load it.

--- a/src/main/java/olivechute/Main.java
+++ b/src/main/java/olivechute/Main.java
@@ -18,10 +18,7 @@
         switch (command) {
             case "benchlink" -> System.exit(BenchLink.run(System.in, System.out, System.err));
             case "serve" -> serve();
-            default -> {
-                System.err.println("usage: java -jar olivechute.jar serve|benchlink");
-                System.exit(2);
-            }
+            default -> System.exit(Commands.run(args));
         }
     }
 
--- /dev/null
+++ b/src/main/java/olivechute/cost/CallTrace.java
@@ -0,0 +1,73 @@
+package olivechute.cost;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+
+/** System calls by kind, as {@code strace -f -c} counts them while it is attached to the node. */
+final class CallTrace {
+    /** Kinds under this many a request are those of the node's own ticks. */
+    private static final double SHOWN = 0.02;
+
+    private final PrintWriter out;
+
+    CallTrace(PrintWriter out) {
+        this.out = out;
+    }
+
+    void run(List<Scenario> scenarios, Path jar) throws IOException, InterruptedException {
+        for (Scenario s : scenarios) {
+            int n = s.requests();
+            Path table = Files.createTempFile("calls", ".txt");
+            try (Rig rig = new Rig(jar, Mode.SERVICE, -1, s)) {
+                rig.warmUp();
+                Process tracer = new ProcessBuilder("strace", "-f", "-q", "-c", "-U", "name,calls", "-o", table.toString(),
+                    "-p", String.valueOf(rig.node().pid())).redirectErrorStream(true).start();
+                awaitAttached(rig.node().pid());
+                rig.drive(n, new Histogram(10_000_000, 3));
+                new ProcessBuilder("kill", "-INT", String.valueOf(tracer.pid())).start().waitFor();
+                if (!tracer.waitFor(10, TimeUnit.SECONDS)) {
+                    tracer.destroyForcibly();
+                    throw new IOException("strace did not end");
+                }
+            }
+            print(s, n, Files.readAllLines(table));
+            Files.delete(table);
+        }
+    }
+
+    private static void awaitAttached(long pid) throws IOException, InterruptedException {
+        for (int i = 0; i < 500; i++) {
+            for (String line : Files.readAllLines(Path.of("/proc/" + pid + "/status"))) {
+                if (line.startsWith("TracerPid:") && !line.endsWith("\t0")) {
+                    Thread.sleep(200);          // the other threads follow one by one
+                    return;
+                }
+            }
+            Thread.sleep(10);
+        }
+        throw new IOException("strace: did not attach");
+    }
+
+    private void print(Scenario scenario, int n, List<String> lines) {
+        StringBuilder line = new StringBuilder(String.format(Locale.ROOT, "%-12s", scenario.key()));
+        double all = 0;
+        for (String row : lines) {
+            String[] f = row.strip().split("\\s+");
+            if (f.length == 2 && f[1].matches("[0-9]+") && !f[0].equals("total")) {
+                double each = Long.parseLong(f[1]) / (double) n;
+                all += each;
+                if (each >= SHOWN) {
+                    line.append(String.format(Locale.ROOT, " %s %.2f", f[0], each));
+                }
+            }
+        }
+        out.printf(Locale.ROOT, "%s, in all %.2f%n", line, all);
+        out.flush();
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/cost/CostCommand.java
@@ -0,0 +1,139 @@
+package olivechute.cost;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import olivechute.cost.Counts.Count;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** {@code cost}: counts, times or profiles what a request costs a node, and holds the counts against a record. */
+@Command(name = "cost", mixinStandardHelpOptions = true, sortOptions = false,
+    description = "Counts what a request costs a node, between stand-ins on loopback.",
+    footer = "Exit status: 0 within the record, 1 over it or not measured, 2 wrong call.")
+public final class CostCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--scenario", paramLabel = "KEY", description = "Only this one; may be given again.")
+    private List<String> keys = new ArrayList<>();
+
+    @Option(names = "--jar", paramLabel = "JAR", description = "Measure the node of this jar rather than of this one.")
+    private Path jar;
+
+    @Option(names = "--against", paramLabel = "JAR", description = "With --timed: a former jar, run in turn.")
+    private Path against;
+
+    @Option(names = "--record", paramLabel = "FILE", description = "Write the counts to this file.")
+    private Path record;
+
+    @Option(names = "--check", paramLabel = "FILE", description = "Fail where a count grew past this record.")
+    private Path check;
+
+    @Option(names = "--spread", paramLabel = "RUNS", description = "Count so many times and print the least and most.")
+    private int spread;
+
+    @Option(names = "--timed", description = "CPU and added delay a request, on one pinned core, rather than counts.")
+    private boolean timed;
+
+    @Option(names = "--calls", description = "System calls by kind, by strace, rather than counts.")
+    private boolean calls;
+
+    @Option(names = "--classes", description = "What is allocated, by class, rather than counts.")
+    private boolean classes;
+
+    @Option(names = "--epsilon", description = "Check the bytes against a heap that is never collected.")
+    private boolean epsilon;
+
+    @Option(names = "--core", paramLabel = "N", defaultValue = "1", description = "The core for --timed (${DEFAULT-VALUE}).")
+    private int core;
+
+    @Option(names = "--requests", paramLabel = "N", defaultValue = "3000",
+        description = "Requests for --timed (${DEFAULT-VALUE}).")
+    private int requests;
+
+    @Option(names = "--rounds", paramLabel = "N", defaultValue = "3", description = "Rounds of --timed (${DEFAULT-VALUE}).")
+    private int rounds;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        List<Scenario> scenarios = scenarios();
+        PrintWriter out = spec.commandLine().getOut();
+        try {
+            Path measured = jar == null ? NodeProcess.ownJar() : jar.toAbsolutePath();
+            if (timed) {
+                new Timing(out, core, requests, rounds).run(scenarios, measured, against);
+            } else if (calls) {
+                new CallTrace(out).run(scenarios, measured);
+            } else if (classes) {
+                new Profile(out).run(scenarios, measured);
+            } else if (epsilon) {
+                for (Scenario s : scenarios) {
+                    out.printf(Locale.ROOT, "%-12s %9.0f bytes, never collected %9.0f%n", s.key(),
+                        Counting.count(measured, s).get(Count.BYTES), Counting.neverCollected(measured, s));
+                    out.flush();
+                }
+            } else if (spread > 0) {
+                spread(out, scenarios, measured);
+            } else {
+                return counts(out, scenarios, measured);
+            }
+            return 0;
+        } catch (IOException e) {
+            spec.commandLine().getErr().println(e.getMessage());
+            return 1;
+        }
+    }
+
+    private List<Scenario> scenarios() {
+        try {
+            return keys.isEmpty() ? List.of(Scenario.values()) : keys.stream().map(Scenario::of).toList();
+        } catch (IllegalArgumentException e) {
+            throw new ParameterException(spec.commandLine(), e.getMessage());
+        }
+    }
+
+    private int counts(PrintWriter out, List<Scenario> scenarios, Path measured) throws IOException, InterruptedException {
+        Map<Scenario, Counts> seen = new EnumMap<>(Scenario.class);
+        out.println(Table.heading());
+        for (Scenario s : scenarios) {
+            seen.put(s, Counting.count(measured, s));
+            out.println(Table.row(s, seen.get(s)));
+            out.flush();
+        }
+        if (record != null) {
+            Record.write(record, seen);
+        }
+        if (check == null) {
+            return 0;
+        }
+        List<String> grown = Record.read(check).grown(seen);
+        grown.forEach(spec.commandLine().getErr()::println);
+        return grown.isEmpty() ? 0 : 1;
+    }
+
+    private void spread(PrintWriter out, List<Scenario> scenarios, Path measured) throws IOException, InterruptedException {
+        out.println(Table.heading());
+        for (Scenario s : scenarios) {
+            Counts least = Counting.count(measured, s);
+            Counts most = least;
+            for (int i = 1; i < spread; i++) {
+                Counts next = Counting.count(measured, s);
+                least = least.least(next);
+                most = most.most(next);
+            }
+            out.println(Table.row(s, least));
+            out.println(Table.row(s, most));
+            out.flush();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/cost/Counts.java
@@ -0,0 +1,74 @@
+package olivechute.cost;
+
+import java.util.Arrays;
+
+/** What is counted for one request of a scenario, or one connection; the same on every machine but for chance in timing. */
+record Counts(double[] values) {
+    /** The counts, in the order of {@link #values}. */
+    enum Count {
+        /** Bytes allocated on the heap. */
+        BYTES("bytes", 0.03, 160),
+        /** Objects allocated on the heap. */
+        OBJECTS("objects", 0.03, 3),
+        /** Read calls, on sockets and files. */
+        READS("reads", 0.05, 0.3),
+        /** Write calls. */
+        WRITES("writes", 0.02, 0.1),
+        /** Connections dialled to upstream hosts. */
+        DIALS("dials", 0, 0.1),
+        /** How often each byte of the body is copied. */
+        BODY_COPIES("body-copies", 0.01, 0.02),
+        /** Other bytes copied: heads, answers, news. */
+        HEAD_COPIED("head-copied", 0.03, 32),
+        /** Single copies made. */
+        COPIES("copies", 0.05, 2);
+
+        private final String key;
+        private final double part;
+        private final double least;
+
+        Count(String key, double part, double least) {
+            this.key = key;
+            this.part = part;
+            this.least = least;
+        }
+
+        /** The name in tables and records. */
+        String key() {
+            return key;
+        }
+
+        /** The most that may be seen where so much is recorded. */
+        double bound(double recorded) {
+            return recorded + Math.max(least, part * recorded);
+        }
+    }
+
+    /** Reads what runs used, one for its allocations and one for its copies. */
+    static Counts of(Scenario scenario, Rig.Run allocating, Rig.Run copying) {
+        double n = allocating.requests();
+        double m = copying.requests();
+        Usage used = allocating.used();
+        return new Counts(new double[] {used.allocated() / n, used.objects() / n, used.reads() / n, used.writes() / n,
+            allocating.dialled() / n, copying.used().bodyCopied() / m / Math.max(1, scenario.body()),
+            copying.used().headCopied() / m, copying.used().copies() / m});
+    }
+
+    double get(Count count) {
+        return values[count.ordinal()];
+    }
+
+    /** The larger of each. */
+    Counts most(Counts other) {
+        double[] most = values.clone();
+        Arrays.setAll(most, i -> Math.max(values[i], other.values[i]));
+        return new Counts(most);
+    }
+
+    /** The smaller of each. */
+    Counts least(Counts other) {
+        double[] least = values.clone();
+        Arrays.setAll(least, i -> Math.min(values[i], other.values[i]));
+        return new Counts(least);
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/cost/Listener.java
@@ -0,0 +1,70 @@
+package olivechute.cost;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import olivechute.net.Threads;
+
+/** A stand-in's listening socket on a loopback address of the system's choice, with a thread for each connection. */
+final class Listener implements AutoCloseable {
+    private final ServerSocket server = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final AtomicLong accepted = new AtomicLong();
+
+    /** What a stand-in does with one connection, from its first byte to its end. */
+    interface Service {
+        void serve(Wire wire) throws IOException, InterruptedException;
+    }
+
+    Listener(String name, Service service) throws IOException {
+        Threads.start(name, () -> {
+            try {
+                for (;;) {
+                    Socket socket = server.accept();
+                    accepted.incrementAndGet();
+                    sockets.add(socket);
+                    Threads.start(name, () -> run(socket, service));
+                }
+            } catch (IOException closed) {
+                return;
+            }
+        });
+    }
+
+    private void run(Socket socket, Service service) {
+        try (socket) {
+            service.serve(new Wire(socket));
+        } catch (IOException | InterruptedException ended) {
+            return;
+        } finally {
+            sockets.remove(socket);
+        }
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) server.getLocalSocketAddress();
+    }
+
+    /** As discovery and the configuration write it. */
+    String text() {
+        return address().getAddress().getHostAddress() + ":" + address().getPort();
+    }
+
+    /** Connections accepted so far. */
+    long accepted() {
+        return accepted.get();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/cost/NodeProcess.java
@@ -0,0 +1,134 @@
+package olivechute.cost;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** A node of any jar in a process of its own, asked for what it has used over its standard input and output. */
+final class NodeProcess implements AutoCloseable {
+    private static final String CONFIG = """
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"DISCOVERY","seed":"8c1f30d27a5be964",
+         "limits":{"cores":1.0,"memory_mb":192,"sockets":SOCKETS},
+         "known":{"index":1,"snapshot":true,"endpoints":[KNOWN]},
+         "settings":{
+          "accounts":[{"name":"acme","quota_per_s":100000,"share":0.6},{"name":"bolt","quota_per_s":100000,"share":0.4}],
+          "az":"z","discovery":"subscribe","fleet_size":1,"kinds":["k"],"clients":{"marks_retry":true},
+          "ceilings":{"conn_idle":600,"dial_timeout":1,"max_retry_after":2.0,"try_limit":3,"retry_after":true},
+          "domain":{"class_stretch":[1.75,2.5],"report_x0":"free slots","report_x1":"free memory","tells_start":true},
+          "report":{"fields":["x0","err_ps","tps","depth"],"via":"inline"},
+          "rules":{"ask_every":10,"drain_grace":0.5,"fall_multiple":3,"overload_for":1,"ramp_time":8.9,
+            "start_capacity":0.3},
+          "profiles":[
+           {"name":"verify","credit":2,"deadline":5,"goal_time":0.15,"effect":"retryable","group":"all","window":5},
+           {"name":"sign","credit":8,"deadline":5,"goal_time":0.15,"effect":"dedup","group":"all","window":7.5}]}}
+        """;
+
+    private final Process process;
+    private final BufferedReader out;
+    private final PrintStream in;
+    private final Path config;
+    private final InetSocketAddress address;
+
+    /** Starts the node of {@code jar}; {@code core} pins it, negative leaves it free. */
+    NodeProcess(Path jar, Mode mode, int core, int sockets, String discovery, String known) throws IOException {
+        Path own = ownJar();
+        config = Files.createTempFile("cost", ".json");
+        Files.writeString(config, CONFIG.replace("DISCOVERY", discovery).replace("SOCKETS", String.valueOf(sockets))
+            .replace("KNOWN", known));
+        List<String> command = new ArrayList<>();
+        if (core >= 0) {
+            command.addAll(List.of("taskset", "-c", String.valueOf(core)));
+        }
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(mode.flags());
+        command.addAll(List.of("-XX:-UsePerfData", "-XX:TieredStopAtLevel=1", "-Xshare:auto"));
+        if (mode == Mode.COPIES) {
+            command.add("-javaagent:" + own);
+        }
+        command.addAll(List.of("-cp", jar + java.io.File.pathSeparator + own, NodeProbe.class.getName()));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.environment().putAll(Map.of("LB_CONFIG", config.toString(), "LB_NAME", "", "LB_LISTEN", "",
+            "LB_DISCOVERY", ""));
+        process = builder.start();
+        out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        in = new PrintStream(process.getOutputStream(), true, StandardCharsets.US_ASCII);
+        String line = await(" listens on ");
+        String at = line.substring(line.lastIndexOf('/') + 1);
+        address = new InetSocketAddress(at.substring(0, at.lastIndexOf(':')),
+            Integer.parseInt(at.substring(at.lastIndexOf(':') + 1)));
+    }
+
+    /** The jar that this program runs from. */
+    static Path ownJar() throws IOException {
+        String path = System.getProperty("java.class.path");
+        if (!path.endsWith(".jar")) {
+            throw new IOException("cost: runs from the built jar only, as java -jar target/olivechute.jar cost");
+        }
+        return Path.of(path).toAbsolutePath();
+    }
+
+    private String await(String part) throws IOException {
+        StringBuilder seen = new StringBuilder();
+        for (String line = out.readLine(); line != null; line = out.readLine()) {
+            if (line.contains(part)) {
+                return line;
+            }
+            seen.append(line).append('\n');
+        }
+        throw new IOException("the node ended: " + seen);
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    /** What it has used so far; {@code objects} costs a walk through the heap. */
+    Usage usage(boolean objects) throws IOException {
+        in.println("usage");
+        String[] f = await(NodeProbe.MARK).substring(NodeProbe.MARK.length()).split(" ");
+        long[] v = new long[10];
+        for (int i = 0; i < v.length; i++) {
+            v[i] = Long.parseLong(f[i]);
+        }
+        long count = 0;
+        if (objects) {
+            in.println("objects");
+            count = Long.parseLong(await(NodeProbe.MARK).substring(NodeProbe.MARK.length()));
+        }
+        return new Usage(v[0], v[1], v[2], v[3], v[4], v[5], v[6], v[7], v[8], v[9], count);
+    }
+
+    /** Instances and bytes by class, of all that was ever allocated; one line a class. */
+    List<String> classes() throws IOException {
+        in.println("classes");
+        List<String> lines = new ArrayList<>();
+        for (String line = out.readLine(); line != null && !line.startsWith(NodeProbe.MARK); line = out.readLine()) {
+            lines.add(line);
+        }
+        return lines;
+    }
+
+    @Override
+    public void close() throws IOException {
+        process.destroyForcibly();
+        try {
+            process.waitFor(10, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Files.deleteIfExists(config);
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/cost/Profile.java
@@ -0,0 +1,59 @@
+package olivechute.cost;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/** What a request allocates, by class: the whole heap, dead objects too, before and after. */
+final class Profile {
+    private static final int LINES = 40;
+
+    private final PrintWriter out;
+
+    Profile(PrintWriter out) {
+        this.out = out;
+    }
+
+    void run(List<Scenario> scenarios, Path jar) throws IOException, InterruptedException {
+        for (Scenario s : scenarios) {
+            try (Rig rig = new Rig(jar, Mode.ALLOCATIONS, -1, s)) {
+                rig.warmUp();
+                Map<String, long[]> first = read(rig.node().classes());
+                Map<String, long[]> before = read(rig.node().classes());
+                rig.drive(s.requests(), new Histogram(10_000_000, 3));
+                Map<String, long[]> after = read(rig.node().classes());
+                out.println(s.key() + ": bytes, objects a request");
+                after.entrySet().stream()
+                    .map(e -> Map.entry(e.getKey(), used(e.getValue(), before.get(e.getKey()), first.get(e.getKey()))))
+                    .sorted((x, y) -> Long.compare(y.getValue()[1], x.getValue()[1])).limit(LINES)
+                    .forEach(e -> out.printf(Locale.ROOT, "%10.1f %8.2f  %s%n", e.getValue()[1] / (double) s.requests(),
+                        e.getValue()[0] / (double) s.requests(), e.getKey()));
+                out.flush();
+            }
+        }
+    }
+
+    /** What came since, less what a look takes. */
+    private static long[] used(long[] after, long[] before, long[] first) {
+        long[] b = before == null ? new long[2] : before;
+        long[] f = first == null ? new long[2] : first;
+        return new long[] {after[0] - 2 * b[0] + f[0], after[1] - 2 * b[1] + f[1]};
+    }
+
+    private static Map<String, long[]> read(List<String> lines) {
+        Map<String, long[]> classes = new HashMap<>();
+        for (String line : lines) {
+            String[] f = line.strip().split("\\s+");
+            if (f.length >= 4 && f[0].endsWith(":")) {
+                classes.merge(f[3], new long[] {Long.parseLong(f[1]), Long.parseLong(f[2])},
+                    (x, y) -> new long[] {x[0] + y[0], x[1] + y[1]});
+            }
+        }
+        return classes;
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/cost/Record.java
@@ -0,0 +1,72 @@
+package olivechute.cost;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonFactory;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import olivechute.config.BadValueException;
+import olivechute.config.Fields;
+import olivechute.cost.Counts.Count;
+
+/** The counts that no scenario may outgrow, as a JSON file: an object for each scenario, a number for each count. */
+record Record(Map<Scenario, Counts> counts) {
+    static Record read(Path file) throws IOException {
+        Map<Scenario, Counts> counts = new EnumMap<>(Scenario.class);
+        try {
+            Fields all = Fields.parse("record", Files.readAllBytes(file));
+            for (Scenario s : Scenario.values()) {
+                if (all.has(s.key())) {
+                    Fields of = all.node(s.key());
+                    double[] values = new double[Count.values().length];
+                    for (Count c : Count.values()) {
+                        values[c.ordinal()] = of.number(c.key());
+                    }
+                    counts.put(s, new Counts(values));
+                }
+            }
+        } catch (BadValueException e) {
+            throw new IOException(file + ": " + e.getMessage());
+        }
+        return new Record(counts);
+    }
+
+    static void write(Path file, Map<Scenario, Counts> counts) throws IOException {
+        try (JsonGenerator out = new JsonFactory().createGenerator(Files.newOutputStream(file))) {
+            out.useDefaultPrettyPrinter();
+            out.writeStartObject();
+            for (Map.Entry<Scenario, Counts> e : counts.entrySet()) {
+                out.writeObjectFieldStart(e.getKey().key());
+                for (Count c : Count.values()) {
+                    out.writeNumberField(c.key(), Math.round(e.getValue().get(c) * 100) / 100.0);
+                }
+                out.writeEndObject();
+            }
+            out.writeEndObject();
+        }
+    }
+
+    /** A line for each count that outgrew what is recorded, its margin counted in, and for each scenario without one. */
+    List<String> grown(Map<Scenario, Counts> seen) {
+        List<String> lines = new ArrayList<>();
+        seen.forEach((scenario, now) -> {
+            Counts recorded = counts.get(scenario);
+            if (recorded == null) {
+                lines.add("cost " + scenario.key() + ": nothing recorded; run cost --record");
+                return;
+            }
+            for (Count c : Count.values()) {
+                if (now.get(c) > c.bound(recorded.get(c))) {
+                    lines.add(String.format(Locale.ROOT, "cost %s: %s grew: recorded %.2f, seen %.2f, at most %.2f",
+                        scenario.key(), c.key(), recorded.get(c), now.get(c), c.bound(recorded.get(c))));
+                }
+            }
+        });
+        return lines;
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/cost/Scenario.java
@@ -0,0 +1,90 @@
+package olivechute.cost;
+
+import java.util.Arrays;
+
+/** What is sent through the node: each is one way that requests or connections come in service. */
+enum Scenario {
+    BODY_1K("1k", "a body of 1 KiB", 1024),
+    BODY_64K("64k", "a body of 64 KiB, written at once", 64 * 1024),
+    PIECES("64k-pieces", "64 KiB in pieces of 256 bytes, a write each", 64 * 1024),
+    CHUNKED("chunked", "4 KiB in chunks of 512 bytes", 4096),
+    HEAD_OCTETS("head-octets", "a head in single bytes", 1024),
+    REFUSED("refused", "a request that is refused at once", 1024),
+    TURNED_AWAY("turned-away", "one that is turned away twice before it is served", 1024),
+    PARALLEL("64-clients", "a body of 1 KiB on 64 connections at once", 1024),
+    NEWS_ON_NEW("news-on-new", "news on a new connection each", 1024),
+    SILENT("silent", "a connection opened and closed without a word", 0),
+    SHED("shed", "a connection that is shed at the bound", 0);
+
+    /** Hosts enough that those resting after they turned a job away are never all. */
+    private static final int MANY_HOSTS = 24;
+
+    private final String key;
+    private final String text;
+    private final int body;
+
+    Scenario(String key, String text, int body) {
+        this.key = key;
+        this.text = text;
+        this.body = body;
+    }
+
+    /** The name in tables and records. */
+    String key() {
+        return key;
+    }
+
+    String text() {
+        return text;
+    }
+
+    /** Bytes of body a request. */
+    int body() {
+        return body;
+    }
+
+    int clients() {
+        return this == PARALLEL ? 64 : 1;
+    }
+
+    int hosts() {
+        return this == TURNED_AWAY || this == PARALLEL ? MANY_HOSTS : 1;
+    }
+
+    int turnsAway() {
+        return this == TURNED_AWAY ? 2 : 0;
+    }
+
+    boolean newsOnNew() {
+        return this == NEWS_ON_NEW;
+    }
+
+    boolean connectionsOnly() {
+        return this == SILENT || this == SHED;
+    }
+
+    /** True where the host has the request in the end. */
+    boolean served() {
+        return this != REFUSED && !connectionsOnly();
+    }
+
+    /** Descriptors that the node is told it may hold: few where its bound is to be met. */
+    int sockets() {
+        return this == SHED ? 160 : 1024;
+    }
+
+    /** Requests in all for a short run. */
+    int requests() {
+        return switch (this) {
+            case BODY_64K, PIECES, HEAD_OCTETS -> 100;
+            case TURNED_AWAY -> 6;
+            case PARALLEL -> 1280;
+            default -> 400;
+        };
+    }
+
+    static Scenario of(String key) {
+        return Arrays.stream(values()).filter(s -> s.key.equals(key)).findFirst()
+            .orElseThrow(() -> new IllegalArgumentException("scenario: unknown '" + key + "'"));
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/cost/StandInClient.java
@@ -0,0 +1,105 @@
+package olivechute.cost;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.concurrent.atomic.AtomicLong;
+import org.HdrHistogram.Histogram;
+
+/** One client with a connection that it keeps: sends one request and waits for its answer, again and again. */
+final class StandInClient implements AutoCloseable {
+    private static final AtomicLong IDS = new AtomicLong(0x1000_0000_0000L);
+    private static final int PIECE = 256;
+    private static final int CHUNK = 512;
+    /** Between pieces: the node should read each by itself, as from a slow client. */
+    private static final long GAP_NANOS = 30_000;
+
+    private final Scenario scenario;
+    private final Wire wire;
+    private final byte[] body;
+
+    StandInClient(Scenario scenario, InetSocketAddress node) throws IOException {
+        this.scenario = scenario;
+        this.wire = Wire.connect(node);
+        this.body = new byte[scenario.body()];
+        Arrays.fill(body, (byte) 0xb5);         // the high bit tells body from head, see CopyCounter
+    }
+
+    /**
+     * Sends one request and waits for its answer; its whole time goes into {@code times}, in microseconds. A
+     * {@code plain} one is never turned away.
+     */
+    void request(Histogram times, boolean plain) throws IOException {
+        byte[] head = head(plain || scenario.turnsAway() == 0 ? "user=7f3a9c21e0b4d655" : StandInHosts.MARKED);
+        long begun = System.nanoTime();
+        send(head);
+        Wire.Message answer = wire.read();
+        times.recordValue((System.nanoTime() - begun) / 1000);
+        int wanted = scenario == Scenario.REFUSED ? 503 : 200;
+        if (answer == null || answer.status() != wanted) {
+            throw new IOException(scenario.key() + ": answered " + (answer == null ? "nothing" : answer.head()));
+        }
+    }
+
+    private byte[] head(String query) {
+        String id = Long.toHexString(IDS.incrementAndGet()) + "00000000";
+        String length = scenario == Scenario.CHUNKED ? "Transfer-Encoding: chunked" : "Content-Length: " + body.length;
+        return ("POST /verify?" + query + " HTTP/1.1\r\nHost: backend.local\r\nX-Txn: " + id
+            + "\r\nX-Org: acme\r\nX-Remaining: " + (scenario == Scenario.REFUSED ? "15m" : "4800m")
+            + "\r\nIdempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n" + length + "\r\n\r\n")
+            .getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private void send(byte[] head) throws IOException {
+        switch (scenario) {
+            case PIECES -> {
+                wire.write(head);
+                for (int at = 0; at < body.length; at += PIECE) {
+                    pause();
+                    wire.write(body, at, PIECE);
+                }
+            }
+            case HEAD_OCTETS -> {
+                for (int at = 0; at < head.length; at++) {
+                    wire.write(head, at, 1);
+                    pause();
+                }
+                wire.write(body);
+            }
+            case CHUNKED -> wire.write(chunked(head));
+            default -> {
+                byte[] whole = Arrays.copyOf(head, head.length + body.length);
+                System.arraycopy(body, 0, whole, head.length, body.length);
+                wire.write(whole);
+            }
+        }
+    }
+
+    private byte[] chunked(byte[] head) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.writeBytes(head);
+        byte[] size = (Integer.toHexString(CHUNK) + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+        for (int at = 0; at < body.length; at += CHUNK) {
+            out.writeBytes(size);
+            out.write(body, at, CHUNK);
+            out.write('\r');
+            out.write('\n');
+        }
+        out.writeBytes("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        return out.toByteArray();
+    }
+
+    private static void pause() {
+        long until = System.nanoTime() + GAP_NANOS;
+        while (System.nanoTime() < until) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        wire.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/cost/Table.java
@@ -0,0 +1,26 @@
+package olivechute.cost;
+
+import java.util.Locale;
+import olivechute.cost.Counts.Count;
+
+/** Counts as lines of text. */
+final class Table {
+    private Table() { }
+
+    static String heading() {
+        StringBuilder line = new StringBuilder(String.format(Locale.ROOT, "%-12s", "a request"));
+        for (Count c : Count.values()) {
+            line.append(String.format(Locale.ROOT, " %11s", c.key()));
+        }
+        return line.toString();
+    }
+
+    static String row(Scenario scenario, Counts counts) {
+        StringBuilder line = new StringBuilder(String.format(Locale.ROOT, "%-12s", scenario.key()));
+        for (Count c : Count.values()) {
+            String form = c == Count.BYTES || c == Count.HEAD_COPIED ? " %11.0f" : " %11.2f";
+            line.append(String.format(Locale.ROOT, form, counts.get(c)));
+        }
+        return line.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/cost/Timing.java
@@ -0,0 +1,54 @@
+package olivechute.cost;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.HdrHistogram.Histogram;
+
+/** CPU a request and the delay that a node adds, of one jar or of two in turn, each pinned to one core. */
+final class Timing {
+    private final PrintWriter out;
+    private final int core;
+    private final int requests;
+    private final int rounds;
+
+    Timing(PrintWriter out, int core, int requests, int rounds) {
+        this.out = out;
+        this.core = core;
+        this.requests = requests;
+        this.rounds = rounds;
+    }
+
+    /** Prints a line for each scenario, jar and round: timings spread, so no round is left out. */
+    void run(List<Scenario> scenarios, Path jar, Path against) throws IOException, InterruptedException {
+        out.printf("%-12s %-24s %8s %8s %9s %9s %9s%n", "scenario", "jar", "cpu us", "waits", "p50 us", "p99 us",
+            "p99.9 us");
+        for (Scenario s : scenarios) {
+            for (int round = 0; round < rounds; round++) {
+                List<Path> jars = new ArrayList<>(against == null ? List.of(jar) : List.of(against, jar));
+                for (Path each : jars) {
+                    once(s, each);
+                }
+            }
+        }
+    }
+
+    private void once(Scenario scenario, Path jar) throws IOException, InterruptedException {
+        int n = scenario.turnsAway() > 0 ? scenario.requests() : requests * scenario.requests() / 400;
+        try (Rig rig = new Rig(jar, Mode.SERVICE, core, scenario)) {
+            rig.warmUp();
+            rig.drive(n, new Histogram(10_000_000, 3));
+            Rig.Run run = rig.run(n, false);
+            Histogram t = run.times();
+            out.printf(Locale.ROOT, "%-12s %-24s %8.1f %8.2f %9.0f %9.0f %9.0f%n", scenario.key(), jar.getFileName(),
+                run.used().cpu() / (double) n, run.used().waits() / (double) n,
+                Math.max(0, t.getValueAtPercentile(50) - run.outsideMicros()),
+                Math.max(0, t.getValueAtPercentile(99) - run.outsideMicros()),
+                Math.max(0, t.getValueAtPercentile(99.9) - run.outsideMicros()));
+            out.flush();
+        }
+    }
+}
