Run events on the thread that posts them, and parse messages where they were read

Cause: at 1 KiB a request took 36,884 bytes, 741 objects and 24 system calls of its own; 16 of these were hand-offs from reader to loop and from loop to writer, and most bytes were texts of head lines, growing buffers and trees of JSON.

Change: core.Turn lets whoever posts an event run what is queued if nobody else does, and write what came of it after the turn; the loop's own thread keeps the timers and takes over after 32 events. Heads are kept as places in the bytes that came, a body is received once into its place and written on from there with its head in one call, news are decoded as they are read. Threads of ended connections serve the next. Writers remain for what may wait: answers to clients that pipeline, and whatever the loop's own thread would write.

--- a/src/main/java/olivechute/config/Fields.java
+++ b/src/main/java/olivechute/config/Fields.java
@@ -137,6 +137,11 @@
         return new Fields(name, (Map<String, Object>) v);
     }
 
+    /** A reader of the JSON in part of an array, under the same bounds as all that is read here. */
+    public static JsonParser reader(byte[] text, int from, int length) throws IOException {
+        return JSON.createParser(text, from, length);
+    }
+
     /** The object that is all of a text; {@code name} stands for it in messages. */
     public static Fields parse(String name, byte[] text) throws IOException {
         try (JsonParser parser = JSON.createParser(text)) {
--- a/src/main/java/olivechute/config/ReportFields.java
+++ b/src/main/java/olivechute/config/ReportFields.java
@@ -28,9 +28,15 @@
             : load(name -> SettingsDecoder.at(row, names.indexOf(name), Double.NaN));
     }
 
-    /** A report whose values come by name. */
-    public Load named(Fields report) {
-        return load(name -> report.get(name) instanceof Number v ? v.doubleValue() : Double.NaN);
+    /** The report with one more value, where its name means something. */
+    public Load with(Load load, String name, double value) {
+        boolean slots = name.equals(free);
+        boolean room = name.equals(memory);
+        boolean busy = name.equals("load_share");
+        boolean time = name.equals("mean_ms");
+        return !slots && !room && !busy && !time ? load
+            : new Load(slots ? value : load.freeSlots(), room ? value : load.freeMemory(),
+                busy ? value : load.busyShare(), time ? value : load.serviceMillis());
     }
 
     /** A report whose values are looked up by name; NaN for what was not told. */
--- a/src/main/java/olivechute/downstream/DownstreamConnection.java
+++ b/src/main/java/olivechute/downstream/DownstreamConnection.java
@@ -1,25 +1,27 @@
 package olivechute.downstream;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import olivechute.core.Event;
 import olivechute.http.HttpException;
 import olivechute.http.HttpRequest;
 import olivechute.http.MessageWriter;
 import olivechute.http.RequestParser;
+import olivechute.net.Link;
 import olivechute.net.Threads;
 import org.tinylog.Logger;
 
 /** One client's or upstream host's connection to this node. Its thread reads, so that a hang-up shows at once. */
 final class DownstreamConnection {
-    private static final int SEND_BUFFER = 128 * 1024;      // takes a whole answer
+    /** What surely fits in the send buffer, whether its peer reads or not. */
+    private static final int SURE = Link.SEND_BUFFER / 2;
     private static final long MESSAGE = 100_000;            // how long one is left to come before it may be shed
     private static final long LINGER = 1_500_000;           // how long a rejected message is read on
     private static final int DISCARD = 64 * 1024 * 1024;    // and how much of it
 
     private final HttpFront front;
-    private final Socket socket;
+    private final Link link;
     private final RequestParser parser = new RequestParser();
     private HttpStream stream;          // guarded by this, as the rest
     private boolean writing;
@@ -28,20 +30,22 @@
     private boolean news;               // it brought news
     private boolean rejected;           // its last answer is out, the rest is thrown away
     private boolean closed;
+    private boolean pipelined;          // it sent a request before it had the answer to the one before
+    private long answered;              // bytes of answers so far
     private final long acceptedAt;
     private long messageSince;
     private long since;                 // its last change of state
 
-    DownstreamConnection(HttpFront front, Socket socket) {
+    DownstreamConnection(HttpFront front, Link link) {
         this.front = front;
-        this.socket = socket;
+        this.link = link;
         this.acceptedAt = front.loop.now();
         this.since = acceptedAt;
     }
 
     void start() {
         try {
-            Threads.start("downstream", this::run);
+            Threads.connection(this::run);
         } catch (OutOfMemoryError e) {      // no thread to be had
             close();
             throw e;
@@ -78,7 +82,7 @@
     /** True if bytes have come that its thread has not read: on a busy core a whole request may wait here. */
     private boolean unread() {
         try {
-            return socket.getInputStream().available() > 0;
+            return link.socket().getInputStream().available() > 0;
         } catch (IOException e) {
             return false;
         }
@@ -90,12 +94,10 @@
 
     private void run() {
         try {
-            socket.setTcpNoDelay(true);
-            socket.setSendBufferSize(SEND_BUFFER);
-            InputStream in = socket.getInputStream();
-            byte[] buffer = new byte[4096];
-            for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
-                take(buffer, n);
+            link.ready();
+            for (int n = link.read(parser.room()); n >= 0; n = link.read(parser.room())) {
+                parser.filled(n);
+                take();
             }
         } catch (IOException | InterruptedException e) {
             Logger.debug(e.getMessage());
@@ -106,10 +108,11 @@
         }
     }
 
-    /** Feeds the parser; what comes before the answer to an earlier request waits here. */
-    private void take(byte[] buffer, int n) throws HttpException, IOException, InterruptedException {
-        for (int at = 0; at < n;) {
+    /** Reads on in what came; what comes before the answer to an earlier request waits here. */
+    private void take() throws HttpException, IOException, InterruptedException {
+        do {
             synchronized (this) {
+                pipelined |= stream != null || writing;
                 while (!closed && (stream != null || writing)) {
                     wait();
                 }
@@ -122,32 +125,35 @@
                 used = true;
                 midway = true;
             }
-            at += parser.feed(buffer, at, n - at);
+            boolean whole = parser.whole();
             if (parser.awaitsGoOn()) {
-                socket.getOutputStream().write(MessageWriter.response(100, null, true));
+                link.write(ByteBuffer.wrap(MessageWriter.response(100, null, true)));
             }
-            if (parser.complete()) {
+            if (whole) {
                 HttpRequest message = parser.take();
                 HttpFront.Reply reply = front.route(message, this);
                 if (reply != null) {
-                    socket.getOutputStream().write(reply.bytes());
+                    parser.reuse(true);
+                    link.write(ByteBuffer.wrap(reply.bytes()));
                     if (!reply.keep()) {
-                        finish(at < n);
+                        finish(parser.more());
                         throw new IOException("closed by its last answer");
                     }
+                } else {
+                    parser.reuse(false);        // its body is the stream's now
                 }
             }
             synchronized (this) {
                 midway = parser.midway();
                 since = front.loop.now();
             }
-        }
+        } while (parser.more());
     }
 
     /** Answers what is no HTTP. */
     private void reject(HttpException broken) {
         try {
-            socket.getOutputStream().write(HttpFront.text(broken.status, broken.getMessage(), false));
+            link.write(ByteBuffer.wrap(HttpFront.text(broken.status, broken.getMessage(), false)));
             finish(true);
         } catch (IOException e) {
             Logger.debug(e.getMessage());
@@ -163,6 +169,7 @@
         if (!more && !unread()) {
             return;
         }
+        Socket socket = link.socket();
         socket.shutdownOutput();
         byte[] rest = new byte[16 * 1024];
         long end = front.loop.now() + LINGER;
@@ -192,8 +199,12 @@
         front.loop.post(event);
     }
 
-    /** Writes the answer to the open stream, by the writers; false if the client has gone. On the event loop. */
-    boolean reply(byte[] bytes, boolean keep) {
+    /**
+     * Writes the answer to the open stream once the turn is over; false if the client has gone. On the event loop. Where the
+     * answer might wait for a client that does not read, a writer does it.
+     */
+    boolean reply(ByteBuffer head, ByteBuffer body, boolean keep) {
+        boolean surely;
         synchronized (this) {
             if (closed) {
                 return false;
@@ -201,16 +212,22 @@
             stream = null;
             writing = true;
             since = front.loop.now();
+            answered += head.remaining() + body.remaining();
+            // A client that sends its next request when it has the answer to the last reads; one that does not wait may not.
+            surely = answered <= SURE || !pipelined && !front.loop.onOwnThread();
         }
-        if (!front.writers.offer(() -> write(bytes, keep))) {
+        Runnable write = () -> write(head, body, keep);
+        if (surely) {
+            front.loop.after(write);
+        } else if (!front.writers.offer(write)) {
             close();
         }
         return true;
     }
 
-    private void write(byte[] bytes, boolean keep) {
+    private void write(ByteBuffer head, ByteBuffer body, boolean keep) {
         try {
-            socket.getOutputStream().write(bytes);
+            link.write(head, body);
             if (!keep) {
                 close();
                 return;
@@ -284,7 +301,7 @@
     private void release() {
         front.ended(this);
         try {
-            socket.close();
+            link.close();
         } catch (IOException e) {
             Logger.debug(e.getMessage());
         }
--- a/src/main/java/olivechute/downstream/HttpFront.java
+++ b/src/main/java/olivechute/downstream/HttpFront.java
@@ -2,8 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -17,8 +16,10 @@
 import olivechute.core.EventLoop;
 import olivechute.core.Payload;
 import olivechute.decision.DispatchApi.Settings;
+import olivechute.http.Body;
 import olivechute.http.HttpRequest;
 import olivechute.http.MessageWriter;
+import olivechute.net.Link;
 import olivechute.net.Threads;
 import olivechute.net.Writers;
 import org.tinylog.Logger;
@@ -37,7 +38,7 @@
     private final int most;
     private final NewsDecoder news;
     private final StreamDecoder streams;
-    private final ServerSocket server = new ServerSocket();
+    private final ServerSocketChannel server = ServerSocketChannel.open();
     private final Set<DownstreamConnection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicInteger open = new AtomicInteger();
     private volatile boolean ready;
@@ -63,7 +64,7 @@
 
     /** Where it listens. */
     public InetSocketAddress address() {
-        return (InetSocketAddress) server.getLocalSocketAddress();
+        return (InetSocketAddress) server.socket().getLocalSocketAddress();
     }
 
     /** The node will end: no longer ready, but it goes on serving on the connections that clients have. */
@@ -91,11 +92,11 @@
     private void accept() {
         for (;;) {
             try {
-                Socket socket = server.accept();
+                Link link = new Link(server.accept());
                 while (connections.size() >= most && !shed()) {
                     Thread.sleep(10);       // all carry streams or answers, and streams are bounded to half of them
                 }
-                DownstreamConnection connection = new DownstreamConnection(this, socket);
+                DownstreamConnection connection = new DownstreamConnection(this, link);
                 connections.add(connection);
                 connection.start();
             } catch (InterruptedException e) {
@@ -149,6 +150,8 @@
     /** An answer to write at once, and whether the connection goes on after it. */
     record Reply(byte[] bytes, boolean keep) { }
 
+    private static final Reply TAKEN = new Reply(MessageWriter.response(204, null, true), true);
+
     boolean keeps() {
         return !draining;
     }
@@ -163,9 +166,9 @@
                     return new Reply(MessageWriter.response(ready ? 200 : 503, new byte[0], keep), keep);
                 case "/_jobs/news":
                     LocalReply.require(message, "POST");
-                    loop.post(news.decode(message.body()));
+                    loop.post(news.decode(message.content()));
                     connection.broughtNews();
-                    return new Reply(MessageWriter.response(204, null, keep), keep);
+                    return keep ? TAKEN : new Reply(MessageWriter.response(204, null, false), false);
                 default:
                     return open(message, connection);
             }
@@ -186,8 +189,9 @@
             open.decrementAndGet();
             return null;
         }
+        Body body = message.content();
         loop.post(new Event.StreamOpened(request, new Payload(message.target(),
-            message.headers().get("Idempotency-Key"), message.body()), stream, lastTaken));
+            message.headers().get("Idempotency-Key"), body.bytes(), body.from(), body.length()), stream, lastTaken));
         return null;
     }
 
--- a/src/main/java/olivechute/downstream/HttpStream.java
+++ b/src/main/java/olivechute/downstream/HttpStream.java
@@ -1,5 +1,6 @@
 package olivechute.downstream;
 
+import java.nio.ByteBuffer;
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
 import olivechute.core.Downstream;
@@ -8,6 +9,8 @@
 
 /** The client's side of one stream, as HTTP. */
 final class HttpStream implements Downstream {
+    private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
+
     private final DownstreamConnection connection;
     final String id;
     private final boolean keepAlive;
@@ -31,7 +34,11 @@
     }
 
     private void reply(byte[] bytes, boolean keep) {
-        if (connection.reply(bytes, keep)) {
+        reply(ByteBuffer.wrap(bytes), NOTHING, keep);
+    }
+
+    private void reply(ByteBuffer head, ByteBuffer body, boolean keep) {
+        if (connection.reply(head, body, keep)) {
             open.decrementAndGet();
         }
     }
@@ -39,7 +46,7 @@
     @Override
     public void served(byte[] result) {
         boolean keep = keep();
-        reply(MessageWriter.response(200, result, keep), keep);
+        reply(MessageWriter.responseHead(200, result.length, keep), ByteBuffer.wrap(result), keep);
     }
 
     @Override
--- a/src/main/java/olivechute/downstream/StreamDecoder.java
+++ b/src/main/java/olivechute/downstream/StreamDecoder.java
@@ -1,9 +1,8 @@
 package olivechute.downstream;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import olivechute.decision.DispatchApi.Effect;
 import olivechute.decision.DispatchApi.Request;
 import olivechute.decision.DispatchApi.RequestClass;
@@ -12,31 +11,29 @@
 
 /** Reads the request that a client's message stands for. */
 final class StreamDecoder {
-    private static final Pattern REMAINING = Pattern.compile("([0-9]{1,12})([mu])");
-    private static final Pattern ID = Pattern.compile("[A-Za-z0-9._~-]{1,128}");
-
-    private static final Pattern KEY = Pattern.compile("[!-~]{1,256}");
+    private static final int MOST_ID = 128;
+    private static final int MOST_KEY = 256;
+    private static final int MOST_DIGITS = 12;
     private static final double MOST_LABEL = 1_000_000;
 
-    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final List<RequestClass> classes;
 
     StreamDecoder(Settings settings) {
-        settings.classes().forEach(c -> classes.put(c.name(), c));
+        classes = settings.classes();
     }
 
     Request decode(HttpRequest message) throws LocalReply {
-        String first = message.path().substring(1).split("/", 2)[0];
-        RequestClass kind = classes.get(first);
+        RequestClass kind = kind(message.target());
         if (kind == null) {
             throw new LocalReply(404, "no such class");
         }
         LocalReply.require(message, "POST");
         String id = one(message, "X-Txn");
-        if (id == null || !ID.matcher(id).matches()) {
+        if (id == null || !isId(id)) {
             throw new LocalReply(400, "X-Txn: missing or not an id");
         }
         String key = one(message, "Idempotency-Key");
-        if (key == null ? kind.effect() == Effect.KEYED : !KEY.matcher(key).matches()) {
+        if (key == null ? kind.effect() == Effect.KEYED : !isKey(key)) {
             throw new LocalReply(400, "Idempotency-Key: missing or not a key");
         }
         Map<String, Double> labels = labels(message.headers().get("X-Labels"));
@@ -46,9 +43,42 @@
             "1".equals(message.headers().get("X-Resent")));
     }
 
+    /** The class that the first part of the path names, null for none. */
+    private RequestClass kind(String target) {
+        int end = 1;
+        while (end < target.length() && target.charAt(end) != '/' && target.charAt(end) != '?') {
+            end++;
+        }
+        for (RequestClass kind : classes) {
+            if (kind.name().length() == end - 1 && target.startsWith(kind.name(), 1)) {
+                return kind;
+            }
+        }
+        return null;
+    }
+
+    private static boolean isId(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (!(c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c >= 'A' && c <= 'Z' || "._~-".indexOf(c) >= 0)) {
+                return false;
+            }
+        }
+        return !text.isEmpty() && text.length() <= MOST_ID;
+    }
+
+    private static boolean isKey(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) < '!' || text.charAt(i) > '~') {
+                return false;
+            }
+        }
+        return !text.isEmpty() && text.length() <= MOST_KEY;
+    }
+
     /** The one value of a header that goes on upstream: of two, another reader might take the other. */
     private static String one(HttpRequest message, String name) throws LocalReply {
-        if (message.headers().all(name).size() > 1) {
+        if (message.headers().several(name)) {
             throw new LocalReply(400, name + ": more than one");
         }
         return message.headers().get(name);
@@ -59,14 +89,23 @@
         if (text == null) {
             return longest;
         }
-        Matcher m = REMAINING.matcher(text);
-        if (!m.matches()) {
+        int digits = text.length() - 1;
+        long number = 0;
+        for (int i = 0; i < digits; i++) {
+            char c = text.charAt(i);
+            number = c >= '0' && c <= '9' && number >= 0 ? 10 * number + c - '0' : -1;
+        }
+        boolean millis = digits > 0 && text.charAt(digits) == 'm';
+        if (digits < 1 || digits > MOST_DIGITS || number < 0 || !millis && text.charAt(digits) != 'u') {
             throw new LocalReply(400, "X-Remaining: must be a number and m or u");
         }
-        return Math.min(Long.parseLong(m.group(1)) * (m.group(2).equals("m") ? 1000 : 1), longest);
+        return Math.min(number * (millis ? 1000 : 1), longest);
     }
 
     private static double label(Map<String, Double> labels, String name, double otherwise) throws LocalReply {
+        if (labels.isEmpty()) {
+            return otherwise;
+        }
         double value = labels.getOrDefault(name, otherwise);
         if (labels.containsKey(name) && !(value >= 0 && value <= MOST_LABEL)) {
             throw new LocalReply(400, "X-Labels: " + name + " must be from 0 to " + (long) MOST_LABEL);
@@ -75,10 +114,10 @@
     }
 
     private static Map<String, Double> labels(String text) throws LocalReply {
-        Map<String, Double> labels = new HashMap<>();
         if (text == null || text.isBlank()) {
-            return labels;
+            return Map.of();
         }
+        Map<String, Double> labels = new HashMap<>();
         try {
             for (String pair : text.split(",")) {
                 String[] halves = pair.strip().split("=", 2);
--- a/src/main/java/olivechute/http/HttpRequest.java
+++ b/src/main/java/olivechute/http/HttpRequest.java
@@ -1,7 +1,7 @@
 package olivechute.http;
 
 /** A whole request. */
-public record HttpRequest(String method, String target, Headers headers, byte[] body, boolean keepAlive) {
+public record HttpRequest(String method, String target, Headers headers, Body content, boolean keepAlive) {
     /** The target without its query. */
     public String path() {
         int query = target.indexOf('?');
@@ -10,14 +10,20 @@
 
     /** The value of a query parameter as it was sent, null without one. */
     public String parameter(String name) {
-        int query = target.indexOf('?');
-        if (query >= 0) {
-            for (String pair : target.substring(query + 1).split("&")) {
-                if (pair.startsWith(name + "=")) {
-                    return pair.substring(name.length() + 1);
-                }
+        int at = target.indexOf('?') + 1;
+        while (at > 0) {
+            int end = target.indexOf('&', at);
+            int to = end < 0 ? target.length() : end;
+            if (to - at > name.length() && target.startsWith(name, at) && target.charAt(at + name.length()) == '=') {
+                return target.substring(at + name.length() + 1, to);
             }
+            at = end + 1;
         }
         return null;
     }
+
+    /** A copy of the body. */
+    public byte[] body() {
+        return content.toArray();
+    }
 }
--- a/src/main/java/olivechute/http/HttpResponse.java
+++ b/src/main/java/olivechute/http/HttpResponse.java
@@ -1,4 +1,9 @@
 package olivechute.http;
 
 /** A whole response. */
-public record HttpResponse(int status, Headers headers, byte[] body, boolean keepAlive) { }
+public record HttpResponse(int status, Headers headers, Body content, boolean keepAlive) {
+    /** A copy of the body. */
+    public byte[] body() {
+        return content.toArray();
+    }
+}
--- a/src/main/java/olivechute/http/MessageWriter.java
+++ b/src/main/java/olivechute/http/MessageWriter.java
@@ -1,6 +1,7 @@
 package olivechute.http;
 
-import java.nio.charset.StandardCharsets;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.Map;
 
 /** Messages as bytes. */
@@ -16,34 +17,102 @@
 
     /** A response; {@code fields} are names and values in turn, a null value leaves its field out. */
     public static byte[] response(int status, byte[] body, boolean keepAlive, String... fields) {
-        StringBuilder head = new StringBuilder(128).append("HTTP/1.1 ").append(status).append(' ')
-            .append(REASONS.getOrDefault(status, "Status"));
+        Text head = new Text(96 + (body == null ? 0 : body.length)).add("HTTP/1.1 ").add(status).add(" ")
+            .add(REASONS.getOrDefault(status, "Status"));
         if (!keepAlive) {
-            head.append("\r\nConnection: close");
+            head.add("\r\nConnection: close");
         }
         return message(head, status == 204 || status < 200 ? null : body, fields);
     }
 
     /** A request; fields as in a response. */
     public static byte[] request(String method, String target, String host, byte[] body, String... fields) {
-        return message(new StringBuilder(192).append(method).append(' ').append(target).append(" HTTP/1.1\r\nHost: ")
-            .append(host), body, fields);
+        return message(new Text(192).add(method).add(" ").add(target).add(" HTTP/1.1\r\nHost: ").add(host), body, fields);
     }
 
-    private static byte[] message(StringBuilder head, byte[] body, String... fields) {
+    private static byte[] message(Text head, byte[] body, String... fields) {
         for (int i = 0; i < fields.length; i += 2) {
             if (fields[i + 1] != null) {
-                head.append("\r\n").append(fields[i]).append(": ").append(fields[i + 1]);
+                head.add("\r\n").add(fields[i]).add(": ").add(fields[i + 1]);
             }
         }
         if (body != null) {
-            head.append("\r\nContent-Length: ").append(body.length);
+            head.add("\r\nContent-Length: ").add(body.length);
         }
-        byte[] start = head.append("\r\n\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
-        byte[] whole = java.util.Arrays.copyOf(start, start.length + (body == null ? 0 : body.length));
-        if (body != null) {
-            System.arraycopy(body, 0, whole, start.length, body.length);
+        head.add("\r\n\r\n");
+        return body == null ? head.whole() : head.add(body).whole();
+    }
+
+    /** The head of a response whose body follows apart. */
+    public static ByteBuffer responseHead(int status, int length, boolean keepAlive) {
+        Text head = new Text(96).add("HTTP/1.1 ").add(status).add(" ").add(REASONS.getOrDefault(status, "Status"));
+        if (!keepAlive) {
+            head.add("\r\nConnection: close");
+        }
+        return head.add("\r\nContent-Length: ").add(length).add("\r\n\r\n").buffer();
+    }
+
+    /** The head of a job for an upstream host, its body following apart; {@code left} is microseconds, {@code key} may be null. */
+    public static ByteBuffer jobHead(String target, String host, String id, long left, String key, int length) {
+        Text head = new Text(192 + target.length() + (key == null ? 0 : key.length())).add("POST ").add(target)
+            .add(" HTTP/1.1\r\nHost: ").add(host).add("\r\nX-Txn: ").add(id).add("\r\nX-Remaining: ").add(left).add("u");
+        if (key != null) {
+            head.add("\r\nIdempotency-Key: ").add(key);
+        }
+        return head.add("\r\nContent-Length: ").add(length).add("\r\n\r\n").buffer();
+    }
+
+    /** Latin text as bytes, put together without a text in between. */
+    private static final class Text {
+        private byte[] bytes;
+        private int size;
+
+        Text(int room) {
+            bytes = new byte[room];
+        }
+
+        private void need(int more) {
+            if (size + more > bytes.length) {
+                bytes = Arrays.copyOf(bytes, Math.max(2 * bytes.length, size + more));
+            }
+        }
+
+        @SuppressWarnings("deprecation")        // the one call that copies a text's bytes into place
+        Text add(String text) {
+            need(text.length());
+            text.getBytes(0, text.length(), bytes, size);
+            size += text.length();
+            return this;
+        }
+
+        Text add(byte[] more) {
+            need(more.length);
+            System.arraycopy(more, 0, bytes, size, more.length);
+            size += more.length;
+            return this;
+        }
+
+        Text add(long number) {
+            int digits = 1;
+            for (long rest = number / 10; rest > 0; rest /= 10) {
+                digits++;
+            }
+            need(digits);
+            size += digits;
+            long rest = number;
+            for (int i = 1; i <= digits; i++) {
+                bytes[size - i] = (byte) ('0' + rest % 10);
+                rest /= 10;
+            }
+            return this;
+        }
+
+        byte[] whole() {
+            return bytes.length == size ? bytes : Arrays.copyOf(bytes, size);
+        }
+
+        ByteBuffer buffer() {
+            return ByteBuffer.wrap(bytes, 0, size);
         }
-        return whole;
     }
 }
--- a/src/main/java/olivechute/http/RequestParser.java
+++ b/src/main/java/olivechute/http/RequestParser.java
@@ -6,15 +6,23 @@
     private String target;
 
     @Override
-    void start(String text) throws HttpException {
-        String[] parts = text.split(" ", -1);
-        if (parts.length != 3 || !isToken(parts[0]) || !parts[1].startsWith("/")
-            || !parts[1].chars().allMatch(c -> c > ' ' && c < 127)) {
+    void start(byte[] in, int from, int end) throws HttpException {
+        int name = from;
+        while (name < end && token(in[name])) {
+            name++;
+        }
+        int path = name + 1;
+        int last = path;
+        while (last < end && in[last] > ' ' && in[last] < 127) {
+            last++;
+        }
+        if (name == from || name >= end || in[name] != ' ' || last >= end || in[last] != ' ' || in[path] != '/') {
             throw new HttpException(400, "bad request line");
         }
-        version(parts[2]);
-        method = parts[0];
-        target = parts[1];
+        version(in, last + 1, end);
+        method = name - from == 4 && in[from] == 'P' && in[from + 1] == 'O' && in[from + 2] == 'S' && in[from + 3] == 'T'
+            ? "POST" : text(in, from, name);
+        target = text(in, path, last);
     }
 
     @Override
@@ -28,8 +36,8 @@
     }
 
     @Override
-    HttpRequest message(Headers headers, byte[] body, boolean keepAlive) {
+    HttpRequest message(Headers fields, Body content, boolean keepAlive) {
         // The answer to a HEAD must have no body; one that has ends with its connection, so it misleads nobody.
-        return new HttpRequest(method, target, headers, body, keepAlive && !method.equals("HEAD"));
+        return new HttpRequest(method, target, fields, content, keepAlive && !method.equals("HEAD"));
     }
 }
--- a/src/main/java/olivechute/http/ResponseParser.java
+++ b/src/main/java/olivechute/http/ResponseParser.java
@@ -2,16 +2,20 @@
 
 /** Responses out of bytes; interim ones (1xx) are handed out like the others. */
 public final class ResponseParser extends MessageParser<HttpResponse> {
+    private static final int CODE = 9;      // where it stands in a status line
+
     private int status;
 
     @Override
-    void start(String text) throws HttpException {
-        String[] parts = text.split(" ", 3);
-        if (parts.length < 2 || !parts[1].matches("[1-5][0-9][0-9]")) {
+    void start(byte[] in, int from, int end) throws HttpException {
+        int code = from + CODE;
+        boolean form = end - from >= CODE + 3 && in[code - 1] == ' ' && in[code] >= '1' && in[code] <= '5'
+            && digit(in[code + 1]) && digit(in[code + 2]) && (code + 3 == end || in[code + 3] == ' ');
+        if (!form) {
             throw new HttpException(400, "bad status line");
         }
-        version(parts[0]);
-        status = Integer.parseInt(parts[1]);
+        version(in, from, code - 1);
+        status = (in[code] - '0') * 100 + (in[code + 1] - '0') * 10 + in[code + 2] - '0';
     }
 
     @Override
@@ -25,7 +29,7 @@
     }
 
     @Override
-    HttpResponse message(Headers headers, byte[] body, boolean keepAlive) {
-        return new HttpResponse(status, headers, body, keepAlive);
+    HttpResponse message(Headers fields, Body content, boolean keepAlive) {
+        return new HttpResponse(status, fields, content, keepAlive);
     }
 }
--- a/src/main/java/olivechute/upstream/Exchange.java
+++ b/src/main/java/olivechute/upstream/Exchange.java
@@ -1,5 +1,7 @@
 package olivechute.upstream;
 
+import java.nio.ByteBuffer;
+import olivechute.core.Payload;
 import olivechute.core.UpstreamRequest;
 import olivechute.http.MessageWriter;
 
@@ -18,12 +20,18 @@
         return since + (!cancels ? request.patience() + GRACE : ends ? WITHDRAW_LIMIT : CANCEL_LIMIT);
     }
 
-    byte[] bytes(String host, long now) {
+    /** The head of its message, for {@link #body} to follow. */
+    ByteBuffer head(String host, long now) {
         if (cancels) {
-            return MessageWriter.request("DELETE", "/jobs/" + request.stream(), host, NOTHING);
+            return ByteBuffer.wrap(MessageWriter.request("DELETE", "/jobs/" + request.stream(), host, NOTHING));
         }
-        long left = Math.max(1, request.patience() - (now - since));
-        return MessageWriter.request("POST", request.payload().target(), host, request.payload().body(),
-            "X-Txn", request.stream(), "X-Remaining", left + "u", "Idempotency-Key", request.payload().key());
+        Payload payload = request.payload();
+        return MessageWriter.jobHead(payload.target(), host, request.stream(),
+            Math.max(1, request.patience() - (now - since)), payload.key(), payload.length());
+    }
+
+    ByteBuffer body() {
+        Payload payload = request.payload();
+        return cancels ? ByteBuffer.wrap(NOTHING) : ByteBuffer.wrap(payload.bytes(), payload.from(), payload.length());
     }
 }
--- a/src/main/java/olivechute/upstream/HostPool.java
+++ b/src/main/java/olivechute/upstream/HostPool.java
@@ -11,6 +11,7 @@
 /** The connections to one upstream host. */
 final class HostPool {
     volatile InetSocketAddress address;
+    volatile String host;           // the address as a Host field has it
     private long startedAt;
     boolean listed = true;          // on the event loop only
     private final Set<UpstreamConnection> all = new HashSet<>();
@@ -18,6 +19,7 @@
 
     HostPool(InetSocketAddress address, long startedAt) {
         this.address = address;
+        this.host = HostPools.host(address);
         this.startedAt = startedAt;
     }
 
@@ -25,6 +27,7 @@
     boolean moved(InetSocketAddress to, long started) {
         boolean moved = !address.equals(to) || startedAt != started;
         address = to;
+        host = HostPools.host(to);
         startedAt = started;
         return moved;
     }
--- a/src/main/java/olivechute/upstream/HostPools.java
+++ b/src/main/java/olivechute/upstream/HostPools.java
@@ -23,7 +23,7 @@
     private static final int REMEMBERED = 256;
 
     private final EventLoop loop;
-    final Writers writers;
+    private final Writers writers;
     final PressureHeader pressure;
     private volatile int dialMillis;
     private final int most;
@@ -161,6 +161,15 @@
         return loop.now();
     }
 
+    /** Has something written to a host that has read all before it; on the event loop. False if that cannot be. */
+    boolean write(Runnable write) {
+        if (loop.onOwnThread()) {
+            return writers.offer(write);        // should a host have answered what it did not read, no timer waits for it
+        }
+        loop.after(write);
+        return true;
+    }
+
     void carries(Exchange exchange, UpstreamConnection connection) {
         if (!exchange.cancels()) {
             carrying.put(exchange.request().stream(), connection);
--- a/src/main/java/olivechute/upstream/UpstreamConnection.java
+++ b/src/main/java/olivechute/upstream/UpstreamConnection.java
@@ -1,13 +1,13 @@
 package olivechute.upstream;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.Socket;
+import java.nio.ByteBuffer;
 import olivechute.core.UpstreamRequest;
 import olivechute.decision.DispatchApi.Outcome;
 import olivechute.http.HttpException;
 import olivechute.http.HttpResponse;
 import olivechute.http.ResponseParser;
+import olivechute.net.Link;
 import olivechute.net.Threads;
 import org.tinylog.Logger;
 
@@ -17,11 +17,10 @@
  */
 final class UpstreamConnection {
     private static final long WRITE_LIMIT = 1_000_000;
-    private static final int SEND_BUFFER = 128 * 1024;      // takes a whole request
 
     private final HostPools pools;
     private final HostPool pool;
-    private final Socket socket = new Socket();
+    private volatile Link link;
     private final ResponseParser parser = new ResponseParser();
     private Exchange current;           // guarded by this, as the rest
     private boolean written;
@@ -39,7 +38,7 @@
     void start() {
         pool.add(this);
         pools.carries(current, this);
-        Threads.start("upstream", this::run);
+        Threads.connection(this::run);
     }
 
     synchronized long idleSince() {
@@ -62,7 +61,8 @@
             pools.carriesNoMore(exchange, this);
             return false;
         }
-        if (!pools.writers.offer(() -> write(exchange))) {
+        // The host has answered all that was written before, so this finds the send buffer empty and waits for nobody.
+        if (!pools.write(() -> write(exchange))) {
             close();
         }
         return true;
@@ -70,13 +70,13 @@
 
     private void write(Exchange exchange) {
         try {
-            byte[] bytes = exchange.bytes(HostPools.host(pool.address), pools.now());
+            ByteBuffer head = exchange.head(pool.host, pools.now());
             synchronized (this) {
                 if (closed || current != exchange) {
                     return;
                 }
             }
-            socket.getOutputStream().write(bytes);
+            link.write(head, exchange.body());
             synchronized (this) {
                 written |= current == exchange;
             }
@@ -87,14 +87,13 @@
 
     private void run() {
         try {
-            socket.setTcpNoDelay(true);
-            socket.setSendBufferSize(SEND_BUFFER);
-            socket.connect(pool.address, pools.dialMillis());
+            if (!dial()) {
+                return;
+            }
             write(current());
-            InputStream in = socket.getInputStream();
-            byte[] buffer = new byte[2048];
-            for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
-                take(buffer, n);
+            for (int n = link.read(parser.room()); n >= 0; n = link.read(parser.room())) {
+                parser.filled(n);
+                take();
             }
             if (parser.end()) {
                 answered(parser.take());
@@ -108,23 +107,40 @@
         }
     }
 
+    /** False if the connection was given up before it had a socket. */
+    private boolean dial() throws IOException {
+        Link made = Link.unconnected();
+        synchronized (this) {
+            if (!closed) {
+                link = made;
+            }
+        }
+        if (link == null) {
+            made.close();
+            return false;
+        }
+        made.connect(pool.address, pools.dialMillis());
+        made.ready();
+        return true;
+    }
+
     private synchronized Exchange current() {
         return current;
     }
 
-    private void take(byte[] buffer, int n) throws HttpException, IOException {
-        for (int at = 0; at < n;) {
+    private void take() throws HttpException, IOException {
+        do {
             if (current() == null) {
                 throw new IOException("bytes between exchanges");
             }
-            at += parser.feed(buffer, at, n - at);
-            if (parser.complete()) {
+            if (parser.whole()) {
                 HttpResponse response = parser.take();
                 if (response.status() >= 200) {
                     answered(response);
                 }
+                parser.reuse(true);
             }
-        }
+        } while (parser.more());
     }
 
     private void answered(HttpResponse response) throws IOException {
@@ -197,7 +213,9 @@
         }
         pool.remove(this);
         try {
-            socket.close();
+            if (link != null) {
+                link.close();
+            }
         } catch (IOException e) {
             Logger.debug("{}: {}", pool.address, e.getMessage());
         }
