Make room for a connection in constant time, and let accepted requests leave the timer wheel

Cause: at the bound each newcomer sorted all connections, and the timer that watches for an acceptance stayed in its slot when that had come, so that the loop's thread woke at nearly every tick.

Change: downstream.Spares keeps the connections that carry nothing in five lists by worth, in the order in which they came to be so; the least is a list's head. A cancelled timer leaves its slot, and an empty slot wakes nobody.

--- a/src/main/java/olivechute/core/Dispatcher.java
+++ b/src/main/java/olivechute/core/Dispatcher.java
@@ -169,6 +169,7 @@
     private void accepted(Stream stream) {
         if (!stream.accepted) {
             stream.accepted = true;
+            stream.acceptance.cancel();
             acceptance.took(loop.now() - stream.sentAt);
         }
     }
@@ -194,6 +195,7 @@
     private void ended(Stream stream, Outcome outcome, Load load) {
         UpstreamRequest request = stream.out;
         stream.out = null;
+        stream.acceptance.cancel();
         long now = loop.now();
         module.outcome(now, stream.id, request.attempt(), outcome, now - stream.sentAt, stream.answered, load);
         settle(stream);
@@ -257,7 +259,7 @@
         stream.accepted = false;
         stream.started = false;
         upstreams.send(request);
-        loop.at(now + acceptance.limit(), () -> unaccepted(stream, request));
+        stream.acceptance = loop.at(now + acceptance.limit(), () -> unaccepted(stream, request));
         if (timeout > 0 && timeout < patience) {
             loop.at(now + timeout, () -> {
                 if (stream.out == request) {
@@ -330,6 +332,7 @@
         final Downstream downstream;
         final long giveUp;
         TimerWheel.Timer deadline;
+        TimerWheel.Timer acceptance;    // of the upstream request sent last
         int attempts;
         UpstreamRequest out;            // null while none is
         boolean accepted;
--- a/src/main/java/olivechute/core/TimerWheel.java
+++ b/src/main/java/olivechute/core/TimerWheel.java
@@ -8,7 +8,7 @@
     private static final int SLOTS = 1024;
 
     /** A timer; once cancelled it does not fire. */
-    static final class Timer {
+    final class Timer {
         private final long tick;
         private Runnable task;
 
@@ -17,8 +17,12 @@
             this.task = task;
         }
 
+        /** Leaves its slot at once: an empty one wakes nobody. */
         void cancel() {
-            task = null;
+            if (task != null) {
+                task = null;
+                slot(tick).remove(this);
+            }
         }
     }
 
@@ -55,14 +59,16 @@
             }
             List<Timer> due = new ArrayList<>();
             slot.removeIf(t -> {
-                if (t.task != null && t.tick <= tick) {
+                if (t.tick <= tick) {
                     due.add(t);
                 }
-                return t.task == null || t.tick <= tick;
+                return t.tick <= tick;
             });
             for (Timer t : due) {
-                if (t.task != null) {       // one that fired before it may have cancelled it
-                    t.task.run();
+                Runnable task = t.task;
+                if (task != null) {         // one that fired before it may have cancelled it
+                    t.task = null;
+                    task.run();
                 }
             }
         }
--- a/src/main/java/olivechute/cost/CallTrace.java
+++ b/src/main/java/olivechute/cost/CallTrace.java
@@ -14,6 +14,8 @@
     /** Kinds under this many a request are those of the node's own ticks. */
     private static final double SHOWN = 0.02;
 
+    private static final int WARM_UPS = 8;
+
     private final PrintWriter out;
 
     CallTrace(PrintWriter out) {
@@ -25,7 +27,9 @@
             int n = s.requests();
             Path table = Files.createTempFile("calls", ".txt");
             try (Rig rig = new Rig(jar, Mode.SERVICE, -1, s)) {
-                rig.warmUp();
+                for (int i = 0; i < WARM_UPS; i++) {
+                    rig.warmUp();       // until what is compiled is compiled: the compiler's own calls are no request's
+                }
                 Process tracer = new ProcessBuilder("strace", "-f", "-q", "-c", "-U", "name,calls", "-o", table.toString(),
                     "-p", String.valueOf(rig.node().pid())).redirectErrorStream(true).start();
                 awaitAttached(rig.node().pid());
--- a/src/main/java/olivechute/downstream/DownstreamConnection.java
+++ b/src/main/java/olivechute/downstream/DownstreamConnection.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import olivechute.core.Event;
+import olivechute.downstream.Spares.Kind;
 import olivechute.http.HttpException;
 import olivechute.http.HttpRequest;
 import olivechute.http.MessageWriter;
@@ -16,13 +17,14 @@
 final class DownstreamConnection {
     /** What surely fits in the send buffer, whether its peer reads or not. */
     private static final int SURE = Link.SEND_BUFFER / 2;
-    private static final long MESSAGE = 100_000;            // how long one is left to come before it may be shed
+    static final long MESSAGE = 100_000;                    // how long one is left to come before it may be shed
     private static final long LINGER = 1_500_000;           // how long a rejected message is read on
     private static final int DISCARD = 64 * 1024 * 1024;    // and how much of it
 
     private final HttpFront front;
     private final Link link;
     private final RequestParser parser = new RequestParser();
+    private final Spares.Place<DownstreamConnection> place = new Spares.Place<>(this);
     private HttpStream stream;          // guarded by this, as the rest
     private boolean writing;
     private boolean midway;
@@ -41,6 +43,14 @@
         this.link = link;
         this.acceptedAt = front.loop.now();
         this.since = acceptedAt;
+        front.spares.put(place, Kind.UNUSED, acceptedAt);
+    }
+
+    /** Says what it is worth, now that it carries nothing. Guarded by this. */
+    private void spare(Kind kind) {
+        if (!closed) {
+            front.spares.put(place, kind, since);
+        }
     }
 
     void start() {
@@ -65,15 +75,6 @@
         return used;
     }
 
-    /**
-     * How soon this one goes when room is short, the lowest first: those that are of no use any more, those that never
-     * said anything, those stuck in a message, those between requests, those that came just now, upstream hosts'.
-     */
-    synchronized int worth() {
-        boolean fresh = front.loop.now() - acceptedAt < MESSAGE;
-        return rejected ? 0 : !used ? fresh ? 4 : 1 : midway ? 2 : news ? 5 : 3;
-    }
-
     /** A message that began a moment ago may be about to open a stream or bring news. */
     private boolean carriesNothing() {
         return !closed && stream == null && !writing && !(midway && front.loop.now() - messageSince < MESSAGE);
@@ -146,6 +147,11 @@
             synchronized (this) {
                 midway = parser.midway();
                 since = front.loop.now();
+                if (midway) {
+                    spare(Kind.MIDWAY);
+                } else if (stream == null && !writing) {
+                    spare(news ? Kind.NEWS : Kind.BETWEEN);
+                }
             }
         } while (parser.more());
     }
@@ -165,6 +171,7 @@
         synchronized (this) {
             rejected = true;
             midway = false;
+            spare(Kind.REJECTED);
         }
         if (!more && !unread()) {
             return;
@@ -192,6 +199,7 @@
     /** A stream is open on this connection; called by its own thread. False if the connection has ended. */
     synchronized boolean opened(HttpStream opened) {
         stream = closed ? null : opened;
+        front.spares.remove(place);
         return !closed;
     }
 
@@ -235,6 +243,7 @@
             synchronized (this) {
                 writing = false;
                 since = front.loop.now();
+                spare(Kind.BETWEEN);
                 notifyAll();
             }
         } catch (IOException e) {
@@ -299,6 +308,7 @@
     }
 
     private void release() {
+        front.spares.remove(place);
         front.ended(this);
         try {
             link.close();
--- a/src/main/java/olivechute/downstream/HttpFront.java
+++ b/src/main/java/olivechute/downstream/HttpFront.java
@@ -4,9 +4,6 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -32,6 +29,7 @@
     private static final long WRITE_LIMIT = 500_000;        // so is a peer that reads nothing: it holds up a writer
     private static final long IDLE = 120_000_000;
     private static final long FRESH = 500_000;
+    private static final int SHED_TRIES = 16;
 
     final EventLoop loop;
     final Writers writers;
@@ -39,6 +37,7 @@
     private final NewsDecoder news;
     private final StreamDecoder streams;
     private final ServerSocketChannel server = ServerSocketChannel.open();
+    final Spares<DownstreamConnection> spares = new Spares<>(DownstreamConnection.MESSAGE);
     private final Set<DownstreamConnection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicInteger open = new AtomicInteger();
     private volatile boolean ready;
@@ -118,19 +117,18 @@
         }
     }
 
-    /** Closes the connection that is worth least, of these the one that has been so for longest; false if there is none. */
+    /** Closes the connection that is worth least; false if none of the first few may go. */
     private boolean shed() {
-        List<Candidate> candidates = new ArrayList<>();
-        for (DownstreamConnection c : connections) {
-            candidates.add(new Candidate(c, c.worth(), c.since()));
+        for (int i = 0; i < SHED_TRIES; i++) {
+            Spares.Place<DownstreamConnection> least = spares.least(loop.now());
+            if (least == null || least.connection.closeIfSpare()) {
+                return least != null;
+            }
+            spares.spare(least, loop.now());
         }
-        candidates.sort(Comparator.comparingInt(Candidate::worth).thenComparingLong(Candidate::since));
-        return candidates.stream().anyMatch(c -> c.connection.closeIfSpare());
+        return false;
     }
 
-    /** What the order depends on, as it was at one moment. */
-    private record Candidate(DownstreamConnection connection, int worth, long since) { }
-
     /** Closes what stands idle or stalls; to be called now and then on the loop. */
     public void sweep() {
         long now = loop.now();
