Fail the build when a request costs more, log JSON lines on request, and check a configuration

Need: what was made cheap must stay so; operators want every fault of a file at once and a log that machines read.

Change: `mvn verify` holds eleven scenarios' counts against src/main/cost/record.json, with margins from 20 runs of each; what seems to have grown is counted again up to three times and the least holds, as every disturbance adds. A poster runs 4 events rather than 32 before it leaves the rest.

--- a/src/main/java/olivechute/Commands.java
+++ b/src/main/java/olivechute/Commands.java
@@ -1,16 +1,25 @@
 package olivechute;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import olivechute.benchlink.BenchLink;
+import olivechute.config.BadValueException;
+import olivechute.config.NodeConfig;
 import olivechute.cost.CostCommand;
+import olivechute.log.LogForm;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
 /** The command line in full. {@code serve} as the platform calls it never comes here, and so loads none of it. */
 @Command(name = "olivechute", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-    subcommands = {Commands.Bench.class, CostCommand.class},
+    subcommands = {Commands.Serve.class, Commands.Bench.class, Commands.Check.class, CostCommand.class},
     description = "A load balancer node that dispatches jobs to sign workers.",
     footer = "Exit status: 0 done, 1 a configuration or input that cannot be used, 2 wrong call.")
 final class Commands implements Callable<Integer> {
@@ -28,6 +37,53 @@
         return 2;
     }
 
+    @Command(name = "serve", mixinStandardHelpOptions = true, sortOptions = false,
+        description = "Runs a node as LB_CONFIG, LB_NAME, LB_LISTEN and LB_DISCOVERY say, until SIGTERM.",
+        footer = "Exit status: 1 a configuration that cannot be used, 2 wrong call, 143 after SIGTERM.")
+    static final class Serve implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
+        @Option(names = "--log", paramLabel = "text|json",
+            description = "How the log is written; before OLIVECHUTE_LOG, which says the same.")
+        private String log;
+
+        @Override
+        public Integer call() throws InterruptedException {
+            try {
+                if (log != null) {
+                    LogForm.named("--log", log).settle();
+                }
+            } catch (BadValueException e) {
+                throw new ParameterException(spec.commandLine(), e.getMessage());
+            }
+            Main.serve();
+            Thread.currentThread().join();      // the node's threads go on until a signal
+            return 0;
+        }
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true,
+        description = "Reads a configuration as serve would and prints each fault with its key.",
+        footer = "Exit status: 0 a node would start, 1 it would not, 2 wrong call.")
+    static final class Check implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
+        @Parameters(paramLabel = "FILE", description = "The file that LB_CONFIG would name; LB_NAME, LB_LISTEN and "
+            + "LB_DISCOVERY override it here too.")
+        private String file;
+
+        @Override
+        public Integer call() {
+            Map<String, String> environment = new HashMap<>(System.getenv());
+            environment.put("LB_CONFIG", file);
+            List<String> faults = NodeConfig.faults(environment);
+            faults.forEach(spec.commandLine().getErr()::println);
+            return faults.isEmpty() ? 0 : 1;
+        }
+    }
+
     @Command(name = "benchlink", mixinStandardHelpOptions = true,
         description = "Runs the decisions on the simulator's wire, on standard input and output.")
     static final class Bench implements Callable<Integer> {
--- a/src/main/java/olivechute/Main.java
+++ b/src/main/java/olivechute/Main.java
@@ -5,11 +5,17 @@
 import olivechute.benchlink.BenchLink;
 import olivechute.config.BadValueException;
 import olivechute.config.NodeConfig;
+import olivechute.log.LogForm;
 import org.tinylog.Logger;
 import sun.misc.Signal;
 
-/** Command line: {@code serve} runs a node, {@code benchlink} the simulator's adapter on standard input and output. */
+/**
+ * Where the program starts: {@code serve} and {@code benchlink} without more, as the platform calls them, begin at once; any
+ * other call goes through {@link Commands}.
+ */
 public final class Main {
+    private static final int KEPT_BUFFER = 16 * 1024;
+
     private Main() { }
 
     /** Runs the named part; exits with 2 on a wrong call, 1 on a bad line or configuration, 0 at the end of input. */
@@ -22,8 +28,12 @@
         }
     }
 
-    private static void serve() {
+    /** Runs a node until it is ended; ends the program with 1 on a configuration that it cannot use. */
+    static void serve() {
+        // Larger buffers between heap and socket are given back at once: kept, each thread would hold one of a body's size.
+        System.setProperty("jdk.nio.maxCachedBufferSize", String.valueOf(KEPT_BUFFER));
         try {
+            LogForm.settle(System.getenv());
             // Without a handler of ours the virtual machine ends on SIGHUP; one that comes early waits for the node.
             CompletableFuture<Node> started = new CompletableFuture<>();
             Signal.handle(new Signal("HUP"), signal -> reload(started.join()));
--- a/src/main/java/olivechute/config/NodeConfig.java
+++ b/src/main/java/olivechute/config/NodeConfig.java
@@ -8,9 +8,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
 import olivechute.core.HostList;
 import olivechute.decision.DispatchApi.Settings;
 import org.tinylog.Logger;
@@ -26,8 +29,8 @@
     private static final int RESERVED = 64;
     /** Memory that the process takes without connections, in KiB: measured 44 MB, and what the heap grows under load. */
     private static final int BASE_KIB = 72 * 1024;
-    /** What a connection adds, nearly all of it its thread's stack; measured 103. */
-    private static final int CONNECTION_KIB = 150;
+    /** What a connection adds, nearly all of it its thread's stack: measured 69 with the flags in deploy/, 110 without. */
+    private static final int CONNECTION_KIB = 130;
     /** However little memory is told: with fewer a node cannot serve at all, and what is told may be more than it takes. */
     private static final int LEAST_CONNECTIONS = 48;
     /** Names in the messages of the module's checks, and the keys that they come from. */
@@ -86,6 +89,46 @@
         }
     }
 
+    /** All that is wrong with what the environment names, a line for each, beginning with its key; empty if a node would start. */
+    public static List<String> faults(Map<String, String> environment) {
+        Fields config;
+        try {
+            config = file(environment);
+        } catch (BadValueException e) {
+            return List.of(e.getMessage());
+        }
+        Set<String> faults = new LinkedHashSet<>();
+        note(faults, () -> text(config, environment, "name", "LB_NAME"));
+        note(faults, () -> Address.parse("listen", text(config, environment, "listen", "LB_LISTEN")));
+        note(faults, () -> Address.parse("discovery", text(config, environment, "discovery", "LB_DISCOVERY")));
+        note(faults, () -> seed(config));
+        note(faults, () -> connections(config.node("limits")));
+        note(faults, () -> config.has("known") ? ListDecoder.list(config.node("known")) : null);
+        if (config.has("settings")) {
+            note(faults, () -> {
+                List<Runnable> parts = SettingsDecoder.parts(config.node("settings"));
+                for (int i = 0; i < parts.size(); i++) {
+                    note(faults, parts.get(i));         // some add the parts that they are made of
+                }
+            });
+        }
+        // What only shows where parts meet, or stands above them.
+        note(faults, () -> read(config, environment));
+        return List.copyOf(faults);
+    }
+
+    private static void note(Set<String> faults, Supplier<?> part) {
+        note(faults, (Runnable) part::get);
+    }
+
+    private static void note(Set<String> faults, Runnable part) {
+        try {
+            part.run();
+        } catch (BadValueException e) {
+            faults.add(e.getMessage());
+        }
+    }
+
     static NodeConfig read(Fields config, Map<String, String> environment) {
         Fields limits = config.node("limits");
         if (!config.has("settings")) {
--- a/src/main/java/olivechute/core/Dispatcher.java
+++ b/src/main/java/olivechute/core/Dispatcher.java
@@ -16,6 +16,7 @@
 import olivechute.decision.DispatchApi.Note;
 import olivechute.decision.DispatchApi.Outcome;
 import olivechute.decision.DispatchApi.Settings;
+import olivechute.log.StreamFields;
 import org.tinylog.Logger;
 
 /**
@@ -135,7 +136,7 @@
         }
         if (!stream.answered) {
             // The module answers what it holds in time; this guards the rule should it not.
-            Logger.warn("stream {} reached its deadline unanswered", stream.id);
+            StreamFields.unanswered(stream.id);
             fail(stream.id);
         }
     }
@@ -197,6 +198,9 @@
         stream.out = null;
         stream.acceptance.cancel();
         long now = loop.now();
+        if (StreamFields.wanted()) {
+            StreamFields.ended(stream.id, request.host(), request.attempt(), outcome.name(), now - stream.sentAt);
+        }
         module.outcome(now, stream.id, request.attempt(), outcome, now - stream.sentAt, stream.answered, load);
         settle(stream);
     }
--- a/src/main/java/olivechute/core/EventLoop.java
+++ b/src/main/java/olivechute/core/EventLoop.java
@@ -18,8 +18,8 @@
 public final class EventLoop {
     private static final int QUEUE = 4096;
     private static final long GRAIN = 4000;
-    /** Events that a poster runs for others before it leaves the rest to the loop's own thread. */
-    private static final int SHARE = 32;
+    /** Events that a poster runs before it leaves the rest to the loop's own thread: its own peer waits meanwhile. */
+    private static final int SHARE = 4;
     private static final long FULL_NANOS = 200_000;
 
     private final Queue<Event> queue = new MpscAtomicArrayQueue<>(QUEUE);
--- a/src/main/java/olivechute/cost/CopyAgent.java
+++ b/src/main/java/olivechute/cost/CopyAgent.java
@@ -40,7 +40,7 @@
         Map.entry(CHANNEL + ".write(Ljava/nio/ByteBuffer;)I", CHANNEL),
         Map.entry(CHANNEL + ".write([Ljava/nio/ByteBuffer;)J", CHANNEL));
 
-    private CopyAgent() { }
+    CopyAgent() { }
 
     /** Called by the virtual machine ahead of the program. */
     public static void premain(String arguments, Instrumentation instrumentation) {
--- a/src/main/java/olivechute/cost/CostCommand.java
+++ b/src/main/java/olivechute/cost/CostCommand.java
@@ -21,6 +21,8 @@
     description = "Counts what a request costs a node, between stand-ins on loopback.",
     footer = "Exit status: 0 within the record, 1 over it or not measured, 2 wrong call.")
 public final class CostCommand implements Callable<Integer> {
+    private static final int RECOUNTS = 3;
+
     @Spec
     private CommandSpec spec;
 
@@ -103,20 +105,24 @@
     }
 
     private int counts(PrintWriter out, List<Scenario> scenarios, Path measured) throws IOException, InterruptedException {
+        Record recorded = check == null ? null : Record.read(check);
         Map<Scenario, Counts> seen = new EnumMap<>(Scenario.class);
+        List<String> grown = new ArrayList<>();
         out.println(Table.heading());
         for (Scenario s : scenarios) {
-            seen.put(s, Counting.count(measured, s));
-            out.println(Table.row(s, seen.get(s)));
+            Counts counts = Counting.count(measured, s);
+            // Whatever disturbs a count adds to it, so the least of several is the true one; what grew stays in all.
+            for (int i = 0; i < RECOUNTS && recorded != null && !recorded.grown(s, counts).isEmpty(); i++) {
+                counts = counts.least(Counting.count(measured, s));
+            }
+            seen.put(s, counts);
+            grown.addAll(recorded == null ? List.of() : recorded.grown(s, counts));
+            out.println(Table.row(s, counts));
             out.flush();
         }
         if (record != null) {
             Record.write(record, seen);
         }
-        if (check == null) {
-            return 0;
-        }
-        List<String> grown = Record.read(check).grown(seen);
         grown.forEach(spec.commandLine().getErr()::println);
         return grown.isEmpty() ? 0 : 1;
     }
--- a/src/main/java/olivechute/cost/Counts.java
+++ b/src/main/java/olivechute/cost/Counts.java
@@ -7,30 +7,33 @@
     /** The counts, in the order of {@link #values}. */
     enum Count {
         /** Bytes allocated on the heap. */
-        BYTES("bytes", 0.03, 160),
+        BYTES("bytes", 0.03, 160, true),
         /** Objects allocated on the heap. */
-        OBJECTS("objects", 0.03, 3),
+        OBJECTS("objects", 0.06, 3, true),
         /** Read calls, on sockets and files. */
-        READS("reads", 0.05, 0.3),
+        READS("reads", 0.05, 0.3, true),
         /** Write calls. */
-        WRITES("writes", 0.02, 0.1),
+        WRITES("writes", 0.02, 0.1, false),
         /** Connections dialled to upstream hosts. */
-        DIALS("dials", 0, 0.1),
+        DIALS("dials", 0, 0.1, true),
         /** How often each byte of the body is copied. */
-        BODY_COPIES("body-copies", 0.01, 0.02),
+        BODY_COPIES("body-copies", 0.01, 0.02, false),
         /** Other bytes copied: heads, answers, news. */
-        HEAD_COPIED("head-copied", 0.03, 32),
+        HEAD_COPIED("head-copied", 0.03, 32, false),
         /** Single copies made. */
-        COPIES("copies", 0.05, 2);
+        COPIES("copies", 0.05, 2, true);
 
         private final String key;
         private final double part;
         private final double least;
+        private final boolean moved;
 
-        Count(String key, double part, double least) {
+        /** {@code part} and {@code least} are the margin; {@code moved}: chance in timing moves this count. */
+        Count(String key, double part, double least, boolean moved) {
             this.key = key;
             this.part = part;
             this.least = least;
+            this.moved = moved;
         }
 
         /** The name in tables and records. */
@@ -38,9 +41,9 @@
             return key;
         }
 
-        /** The most that may be seen where so much is recorded. */
-        double bound(double recorded) {
-            return recorded + Math.max(least, part * recorded);
+        /** The most that may be seen of this scenario where so much is recorded. */
+        double bound(Scenario scenario, double recorded) {
+            return recorded + Math.max(least, part * recorded) * (moved ? scenario.chance() : 1);
         }
     }
 
--- a/src/main/java/olivechute/cost/Record.java
+++ b/src/main/java/olivechute/cost/Record.java
@@ -51,22 +51,20 @@
         }
     }
 
-    /** A line for each count that outgrew what is recorded, its margin counted in, and for each scenario without one. */
-    List<String> grown(Map<Scenario, Counts> seen) {
+    /** A line for each count of a scenario that outgrew what is recorded, its margin counted in, or if nothing is. */
+    List<String> grown(Scenario scenario, Counts now) {
+        Counts recorded = counts.get(scenario);
+        if (recorded == null) {
+            return List.of("cost " + scenario.key() + ": nothing recorded; run cost --record");
+        }
         List<String> lines = new ArrayList<>();
-        seen.forEach((scenario, now) -> {
-            Counts recorded = counts.get(scenario);
-            if (recorded == null) {
-                lines.add("cost " + scenario.key() + ": nothing recorded; run cost --record");
-                return;
-            }
-            for (Count c : Count.values()) {
-                if (now.get(c) > c.bound(recorded.get(c))) {
-                    lines.add(String.format(Locale.ROOT, "cost %s: %s grew: recorded %.2f, seen %.2f, at most %.2f",
-                        scenario.key(), c.key(), recorded.get(c), now.get(c), c.bound(recorded.get(c))));
-                }
+        for (Count c : Count.values()) {
+            double most = c.bound(scenario, recorded.get(c));
+            if (now.get(c) > most) {
+                lines.add(String.format(Locale.ROOT, "cost %s: %s grew: recorded %.2f, seen %.2f, at most %.2f",
+                    scenario.key(), c.key(), recorded.get(c), now.get(c), most));
             }
-        });
+        }
         return lines;
     }
 }
--- a/src/main/java/olivechute/cost/Scenario.java
+++ b/src/main/java/olivechute/cost/Scenario.java
@@ -83,6 +83,16 @@
         };
     }
 
+    /** By how much chance moves its counts over those of others, as 20 runs of each showed; see docs/cost-design.md. */
+    double chance() {
+        return switch (this) {
+            case BODY_64K, PIECES -> 2;
+            case HEAD_OCTETS, PARALLEL -> 5;
+            case TURNED_AWAY -> 35;         // how long a job is held until a host has rested
+            default -> 1;
+        };
+    }
+
     static Scenario of(String key) {
         return Arrays.stream(values()).filter(s -> s.key.equals(key)).findFirst()
             .orElseThrow(() -> new IllegalArgumentException("scenario: unknown '" + key + "'"));
--- /dev/null
+++ b/src/main/java/olivechute/log/LogForm.java
@@ -0,0 +1,51 @@
+package olivechute.log;
+
+import java.util.Locale;
+import java.util.Map;
+import olivechute.config.BadValueException;
+
+/**
+ * How the log is written: {@code OLIVECHUTE_LOG} is {@code text} or {@code json}, {@code OLIVECHUTE_LOG_LEVEL} one of the
+ * logger's levels. To be settled before the first line is logged.
+ */
+public enum LogForm {
+    TEXT, JSON;
+
+    /** The variable that names the form. */
+    public static final String FORM = "OLIVECHUTE_LOG";
+    /** The variable that names the least level. */
+    public static final String LEVEL = "OLIVECHUTE_LOG_LEVEL";
+    private static final String LEVELS = "trace|debug|info|warn|error|off";
+
+    /** Sets the log up as the environment says, as text at the level of the built-in settings where it says nothing. */
+    public static void settle(Map<String, String> environment) {
+        String form = environment.getOrDefault(FORM, "");
+        if (!form.isEmpty()) {
+            named(FORM, form).settle();
+        }
+        String level = environment.getOrDefault(LEVEL, "");
+        if (!level.isEmpty()) {
+            if (!level.matches(LEVELS)) {
+                throw new BadValueException(LEVEL + ": must be one of " + LEVELS + ", not '" + level + "'");
+            }
+            System.setProperty("tinylog.level", level);
+        }
+    }
+
+    /** The form of that name; {@code key} is blamed if there is none. */
+    public static LogForm named(String key, String name) {
+        for (LogForm form : values()) {
+            if (form.name().toLowerCase(Locale.ROOT).equals(name)) {
+                return form;
+            }
+        }
+        throw new BadValueException(key + ": must be text or json, not '" + name + "'");
+    }
+
+    /** Has what is logged from now on written so. */
+    public void settle() {
+        if (this == JSON) {
+            System.setProperty("tinylog.writer", "json lines");
+        }
+    }
+}
--- a/src/main/java/olivechute/net/Writers.java
+++ b/src/main/java/olivechute/net/Writers.java
@@ -1,39 +1,55 @@
 package olivechute.net;
 
+import java.util.Queue;
 import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.tinylog.Logger;
 
 /**
- * Threads that write for connections whose own thread reads. The queue holds at most one write for each connection,
- * and a socket's buffer takes a whole message, so writes wait only for peers that read nothing.
+ * Writes what may wait for a peer, so that neither the event loop's own thread nor a connection's does. Few writes come
+ * here, so threads are taken only while there are some. The queue holds at most one write for each connection.
  */
 public final class Writers {
     private static final int THREADS = 3;
 
-    private final BlockingQueue<Runnable> queue;
+    private final Queue<Runnable> queue;
+    private final AtomicInteger running = new AtomicInteger();
 
     public Writers(int connections) {
         queue = new ArrayBlockingQueue<>(connections);
-        for (int i = 0; i < THREADS; i++) {
-            Threads.start("writer-" + i, this::run);
-        }
     }
 
-    /** Queues a write; false if the queue is full. */
+    /** Queues a write; false if the queue is full, or there is no thread to be had for it. */
     public boolean offer(Runnable write) {
-        return queue.offer(write);
+        if (!queue.offer(write)) {
+            return false;
+        }
+        if (!enter()) {
+            return true;
+        }
+        try {
+            Threads.connection(this::run);
+            return true;
+        } catch (OutOfMemoryError noThread) {
+            return running.decrementAndGet() > 0 || !queue.remove(write);
+        }
+    }
+
+    /** One more thread writes, unless enough do. */
+    private boolean enter() {
+        return running.getAndUpdate(n -> Math.min(THREADS, n + 1)) < THREADS;
     }
 
     private void run() {
-        for (;;) {
-            try {
-                queue.take().run();
-            } catch (InterruptedException e) {
-                return;
-            } catch (RuntimeException e) {
-                Logger.error(e, "write failed");
+        do {
+            for (Runnable write = queue.poll(); write != null; write = queue.poll()) {
+                try {
+                    write.run();
+                } catch (RuntimeException e) {
+                    Logger.error(e, "write failed");
+                }
             }
-        }
+            running.decrementAndGet();
+        } while (!queue.isEmpty() && enter());      // one that came as the last was done
     }
 }
--- /dev/null
+++ b/src/test/java/olivechute/cost/CopyAgentTest.java
@@ -0,0 +1,89 @@
+package olivechute.cost;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The agent's count: each way to copy that it knows is seen, body told from head, and the code does what it did. */
+public class CopyAgentTest {
+    /** Bytes of body and of head in turn; not in the counted class, whose own start would be counted. */
+    public static final byte[] MIXED = {(byte) 0xb5, 'h', (byte) 0xb5, 'd', (byte) 0xb5};
+
+    /** Copies 3 body bytes and 2 others each time, by the ways named. */
+    public static final class Copies {
+        private Copies() { }
+
+        /** Copies in the named way and returns the copy. */
+        public static byte[] copy(String way) {
+            switch (way) {
+                case "arraycopy": {
+                    byte[] to = new byte[5];
+                    System.arraycopy(MIXED, 0, to, 0, 5);
+                    return to;
+                }
+                case "copyOf":
+                    return Arrays.copyOf(MIXED, 5);
+                case "copyOfRange":
+                    return Arrays.copyOfRange(MIXED, 0, 5);
+                case "clone":
+                    return MIXED.clone();
+                case "loop": {
+                    byte[] to = new byte[5];
+                    for (int i = 0; i < 5; i++) {
+                        to[i] = MIXED[i];
+                    }
+                    return to;
+                }
+                case "buffer":
+                    return ByteBuffer.allocate(5).put(MIXED, 0, 5).array();
+                default:
+                    throw new IllegalArgumentException(way);
+            }
+        }
+    }
+
+    @DataProvider
+    public Object[][] ways() {
+        return new Object[][] {{"arraycopy", 1}, {"copyOf", 1}, {"copyOfRange", 1}, {"clone", 1}, {"loop", 5}, {"buffer", 1}};
+    }
+
+    @Test(dataProvider = "ways")
+    public void everyWayToCopyIsCounted(String way, int copies) throws Exception {
+        long[] before = figures();
+        byte[] copy = (byte[]) counted().getMethod("copy", String.class).invoke(null, way);
+        long[] after = figures();
+        assertEquals(copy, MIXED);
+        assertEquals(after[0] - before[0], copies);
+        assertEquals(after[1] - before[1], 3);
+        assertEquals(after[2] - before[2], 2);
+    }
+
+    @Test
+    public void whatIsNotTheNodesIsLeftAlone() {
+        assertEquals(new CopyAgent().transform(null, "java/util/ArrayList", null, null, new byte[0]), null);
+        assertEquals(new CopyAgent().transform(null, "olivechute/cost/Wire", null, null, new byte[0]), null);
+    }
+
+    private static long[] figures() {
+        return Arrays.stream(CopyCounter.figures().split(" ")).mapToLong(Long::parseLong).toArray();
+    }
+
+    /** The class above as the agent rewrites it, under the name of a class that is counted. */
+    private static Class<?> counted() throws IOException {
+        String name = Copies.class.getName();
+        byte[] code;
+        try (InputStream in = CopyAgentTest.class.getResourceAsStream("CopyAgentTest$Copies.class")) {
+            code = new CopyAgent().transform(null, "olivechute/counted/Copies", null, null, in.readAllBytes());
+        }
+        return new ClassLoader(CopyAgentTest.class.getClassLoader()) {
+            Class<?> define() {
+                return defineClass(name, code, 0, code.length);
+            }
+        }.define();
+    }
+}
