Let the module look through its rows and attempts without iterators, and count waits

Change: the rows stand in an array beside their map, open attempts and classes are looked through by index.

--- a/src/main/java/olivechute/cost/CostCommand.java
+++ b/src/main/java/olivechute/cost/CostCommand.java
@@ -56,6 +56,10 @@
     @Option(names = "--epsilon", description = "Check the bytes against a heap that is never collected.")
     private boolean epsilon;
 
+    @Option(names = "--connections", paramLabel = "N",
+        description = "What N idle connections take in resident memory, rather than counts.")
+    private int connections;
+
     @Option(names = "--core", paramLabel = "N", defaultValue = "1", description = "The core for --timed (${DEFAULT-VALUE}).")
     private int core;
 
@@ -76,6 +80,8 @@
                 new Timing(out, core, requests, rounds).run(scenarios, measured, against);
             } else if (calls) {
                 new CallTrace(out).run(scenarios, measured);
+            } else if (connections > 0) {
+                new Resident(out).run(measured, connections);
             } else if (classes) {
                 new Profile(out).run(scenarios, measured);
             } else if (epsilon) {
--- a/src/main/java/olivechute/cost/Counts.java
+++ b/src/main/java/olivechute/cost/Counts.java
@@ -14,6 +14,8 @@
         READS("reads", 0.05, 0.3, true),
         /** Write calls. */
         WRITES("writes", 0.02, 0.1, false),
+        /** Times that a thread gave up the core to wait, for its peer or for another thread. */
+        WAITS("waits", 0.3, 2, true),
         /** Connections dialled to upstream hosts. */
         DIALS("dials", 0, 0.1, true),
         /** How often each byte of the body is copied. */
@@ -53,7 +55,7 @@
         double m = copying.requests();
         Usage used = allocating.used();
         return new Counts(new double[] {used.allocated() / n, used.objects() / n, used.reads() / n, used.writes() / n,
-            allocating.dialled() / n, copying.used().bodyCopied() / m / Math.max(1, scenario.body()),
+            Math.max(0, used.waits() / n), allocating.dialled() / n, copying.used().bodyCopied() / m / Math.max(1, scenario.body()),
             copying.used().headCopied() / m, copying.used().copies() / m});
     }
 
--- a/src/main/java/olivechute/cost/NodeProbe.java
+++ b/src/main/java/olivechute/cost/NodeProbe.java
@@ -48,7 +48,7 @@
                 }
                 System.out.println(MARK + (eden == null ? 0 : eden.getUsage().getUsed()) + " " + collections + " "
                     + system.getProcessCpuTime() / 1000 + " " + io("syscr") + " " + io("syscw") + " " + switches() + " "
-                    + status("VmRSS") + " " + CopyCounter.figures());
+                    + CopyCounter.figures());
             }
         }
         Runtime.getRuntime().halt(0);
@@ -58,10 +58,6 @@
         return figure(Path.of("/proc/self/io"), key);
     }
 
-    private static long status(String key) {
-        return figure(Path.of("/proc/self/status"), key);
-    }
-
     /** How often threads that still run gave the core up to wait. */
     private static long switches() {
         long sum = 0;
@@ -75,7 +71,8 @@
         return sum;
     }
 
-    private static long figure(Path file, String key) {
+    /** A figure of one of the kernel's files; 0 where that is gone. */
+    static long figure(Path file, String key) {
         try {
             for (String line : Files.readAllLines(file, StandardCharsets.US_ASCII)) {
                 if (line.startsWith(key + ":")) {
--- a/src/main/java/olivechute/cost/NodeProcess.java
+++ b/src/main/java/olivechute/cost/NodeProcess.java
@@ -50,7 +50,7 @@
         }
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(mode.flags());
-        command.addAll(List.of("-XX:-UsePerfData", "-XX:TieredStopAtLevel=1", "-Xshare:auto"));
+        command.addAll(List.of("-XX:-UsePerfData", "-XX:TieredStopAtLevel=1", "-XX:StackShadowPages=10", "-Xshare:auto"));
         if (mode == Mode.COPIES) {
             command.add("-javaagent:" + own);
         }
@@ -99,7 +99,7 @@
     Usage usage(boolean objects) throws IOException {
         in.println("usage");
         String[] f = await(NodeProbe.MARK).substring(NodeProbe.MARK.length()).split(" ");
-        long[] v = new long[10];
+        long[] v = new long[9];
         for (int i = 0; i < v.length; i++) {
             v[i] = Long.parseLong(f[i]);
         }
@@ -108,7 +108,19 @@
             in.println("objects");
             count = Long.parseLong(await(NodeProbe.MARK).substring(NodeProbe.MARK.length()));
         }
-        return new Usage(v[0], v[1], v[2], v[3], v[4], v[5], v[6], v[7], v[8], v[9], count);
+        return new Usage(v[0], v[1], v[2], v[3], v[4], v[5], v[6], v[7], v[8], count);
+    }
+
+    /** Its resident memory in KiB, seen from outside: a look from within would add to it. */
+    long resident() throws IOException {
+        return NodeProbe.figure(Path.of("/proc/" + process.pid() + "/status"), "VmRSS");
+    }
+
+    /** Threads that it has now. */
+    int threads() throws IOException {
+        try (var tasks = Files.list(Path.of("/proc/" + process.pid() + "/task"))) {
+            return (int) tasks.count();
+        }
     }
 
     /** Instances and bytes by class, of all that was ever allocated; one line a class. */
--- a/src/main/java/olivechute/cost/Usage.java
+++ b/src/main/java/olivechute/cost/Usage.java
@@ -2,9 +2,9 @@
 
 /**
  * What a node's process had used at one moment, or between two. Bytes allocated, collections, CPU in microseconds, read
- * and write calls, times a thread gave up the core, resident KiB, copies, body and other bytes copied, objects.
+ * and write calls, times a thread gave up the core, copies, body and other bytes copied, objects.
  */
-record Usage(long allocated, long collections, long cpu, long reads, long writes, long waits, long resident, long copies,
+record Usage(long allocated, long collections, long cpu, long reads, long writes, long waits, long copies,
              long bodyCopied, long headCopied, long objects) {
     /** What was used since another moment, less what looking itself uses. */
     Usage since(Usage before, Usage looking) {
@@ -13,7 +13,7 @@
 
     Usage minus(Usage o) {
         return new Usage(allocated - o.allocated, collections - o.collections, cpu - o.cpu, reads - o.reads,
-            writes - o.writes, waits - o.waits, resident - o.resident, copies - o.copies, bodyCopied - o.bodyCopied,
+            writes - o.writes, waits - o.waits, copies - o.copies, bodyCopied - o.bodyCopied,
             headCopied - o.headCopied, objects - o.objects);
     }
 }
--- a/src/main/java/olivechute/decision/Book.java
+++ b/src/main/java/olivechute/decision/Book.java
@@ -207,8 +207,8 @@
 
         int runningSlots() {
             int running = 0;
-            for (Attempt a : open) {
-                running += a.startedAt >= 0 ? a.job.slots : 0;
+            for (int i = 0; i < open.size(); i++) {
+                running += open.get(i).startedAt >= 0 ? open.get(i).job.slots : 0;
             }
             return running;
         }
--- a/src/main/java/olivechute/decision/Decide.java
+++ b/src/main/java/olivechute/decision/Decide.java
@@ -75,6 +75,7 @@
     final Map<String, Worker> roster = new LinkedHashMap<>();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Row> rows = new LinkedHashMap<>();
+    private Row[] all = {};                        // these rows, in their order: looked through at each event
     private final Shares shares = new Shares(START_COUNT, BAND, AVERAGE_FLOOR);
     private double virtualTime;
     private double slotsSeen = 1;
@@ -127,7 +128,7 @@
     @Override
     public void start(long now) {
         nextInterval = now + INTERVAL;
-        for (Row r : rows.values()) {
+        for (Row r : all) {
             r.usageAt = now;
             r.countedAt = now;
         }
@@ -247,7 +248,7 @@
         } else if (mark == MARK_TICK) {
             actions.timer(MARK_TICK, HIST_STEP);
             if (now >= nextInterval) {
-                for (Row r : rows.values()) {
+                for (Row r : all) {
                     r.use(now, 0);
                 }
                 shares.interval();
@@ -418,6 +419,8 @@
     private Row addRow(Tenant tenant) {
         Row row = new Row(tenant, rows.size(), 2 * norms.size());
         rows.put(tenant.name(), row);
+        all = java.util.Arrays.copyOf(all, rows.size());
+        all[row.index] = row;
         quotas += tenant.quotaPerSecond();
         shares.add(row);
         return row;
@@ -444,7 +447,7 @@
      */
     private boolean surplus(long now, Row row, boolean repeat) {
         double others = 0;
-        for (Row r : rows.values()) {
+        for (Row r : all) {
             double recent = r.recent * Math.exp(-(now - r.countedAt) / ARRIVALS);
             others += r == row ? 0 : recent;
             if (r == row) {
@@ -625,7 +628,8 @@
     private boolean awaited(long now, Worker w) {
         int waiting = 0;
         double patience = 0;
-        for (Attempt a : w.open) {
+        for (int i = 0; i < w.open.size(); i++) {
+            Attempt a = w.open.get(i);
             if (a.startedAt < 0 && settings.tellsStart()) {
                 waiting++;
                 patience = a.sentAt + waiting * patience(a);
@@ -868,12 +872,12 @@
 
     /** Releases held jobs in turns that follow the tenants' total counts. */
     private void pump(long now) {
-        for (Row r : rows.values()) {
+        for (Row r : all) {
             r.blocked = false;
         }
         for (;;) {
             Row turn = null;
-            for (Row r : rows.values()) {
+            for (Row r : all) {
                 if (r.held > 0 && !r.blocked && (turn == null || r.pass < turn.pass)) {
                     turn = r;
                 }
@@ -897,8 +901,8 @@
      */
     private boolean release(long now, Row row) {
         for (int surplus = 0; surplus <= norms.size(); surplus += norms.size()) {
-            for (ClassNorm norm : order) {
-                ArrayDeque<Job> queue = row.parts.get(norm.index + surplus);
+            for (int i = 0; i < order.size(); i++) {
+                ArrayDeque<Job> queue = row.parts.get(order.get(i).index + surplus);
                 if (!queue.isEmpty() && release(now, queue)) {
                     return true;
                 }
@@ -974,7 +978,7 @@
     }
 
     private void sweep(long now) {
-        for (Row r : rows.values()) {
+        for (Row r : all) {
             for (ArrayDeque<Job> part : r.parts) {
                 for (Iterator<Job> it = part.iterator(); it.hasNext();) {
                     Job job = it.next();
@@ -1022,7 +1026,7 @@
 
     private double turn(double waited, double hold) {
         double ahead = 0;
-        for (Row r : rows.values()) {
+        for (Row r : all) {
             ahead += r.held;
         }
         double gap = Double.isNaN(releaseGap) ? waited : Math.max(releaseGap, waited);
