--- a/src/main/java/olivechute/cost/Scenario.java
+++ b/src/main/java/olivechute/cost/Scenario.java
@@ -86,8 +86,10 @@
     /** By how much chance moves its counts over those of others, as 20 runs of each showed; see docs/cost-design.md. */
     double chance() {
         return switch (this) {
-            case BODY_64K, PIECES -> 2;
-            case HEAD_OCTETS, PARALLEL -> 5;
+            case BODY_64K -> 2;
+            case PIECES -> 4;               // how many pieces are read at once
+            case PARALLEL -> 5;
+            case HEAD_OCTETS -> 8;
             case TURNED_AWAY -> 35;         // how long a job is held until a host has rested
             default -> 1;
         };
