--- a/src/main/java/olivechute/http/Headers.java
+++ b/src/main/java/olivechute/http/Headers.java
@@ -1,9 +1,7 @@
 package olivechute.http;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.List;
 
 /**
  * The header fields of a message in their order, as places in the bytes that came; a text is made of a value only when it
@@ -113,15 +111,6 @@
         return find(name, 0) >= 0;
     }
 
-    /** All values of that name. */
-    public List<String> all(String name) {
-        List<String> found = new ArrayList<>(1);
-        for (int i = find(name, 0); i >= 0; i = find(name, i + 1)) {
-            found.add(value(i));
-        }
-        return found;
-    }
-
     /** True if a list-valued field of that name holds the token. */
     boolean has(String name, String token) {
         for (int i = find(name, 0); i >= 0; i = find(name, i + 1)) {
--- a/src/main/java/olivechute/net/Threads.java
+++ b/src/main/java/olivechute/net/Threads.java
@@ -3,7 +3,6 @@
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import org.tinylog.Logger;
 
 /**
@@ -13,12 +12,8 @@
 public final class Threads {
     private static final long STACK = 192 * 1024;
     private static final long KEPT_MILLIS = 1000;
-    private static final AtomicLong MADE = new AtomicLong();
     private static final ThreadPoolExecutor CONNECTIONS = new ThreadPoolExecutor(0, Integer.MAX_VALUE, KEPT_MILLIS,
-        TimeUnit.MILLISECONDS, new SynchronousQueue<>(), task -> {
-            MADE.incrementAndGet();
-            return thread("connection", task);
-        });
+        TimeUnit.MILLISECONDS, new SynchronousQueue<>(), task -> thread("connection", task));
 
     private Threads() { }
 
@@ -40,11 +35,6 @@
         });
     }
 
-    /** Threads made for connections so far. */
-    static long made() {
-        return MADE.get();
-    }
-
     private static Thread thread(String name, Runnable task) {
         Thread thread = new Thread(null, task, name, STACK);
         thread.setDaemon(true);
