Judge SPIFFE identities, with an issuer of our own that forges them in 40 ways

Need: members ask how they can know a signature came from us; first of all a node must tell an identity from a forgery.

Change: olivechute.identity reads SPIFFE IDs, X.509 and JWT documents and bundles and judges them without I/O, at a moment that is told, each refusal with a reason of its own. olivechute.issuer is the stand-in issuer: root, intermediate, documents, and forgeries that each name the reason for which they must be refused. `issuer` writes a trust domain, `identity show` judges a document.

--- /dev/null
+++ b/src/main/java/olivechute/IdentityCommand.java
@@ -0,0 +1,84 @@
+package olivechute;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.cert.X509Certificate;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import olivechute.identity.PemReader;
+import olivechute.identity.RefusedException;
+import olivechute.identity.SpiffeId;
+import olivechute.identity.TrustBundle;
+import olivechute.identity.TrustBundles;
+import olivechute.identity.X509Check;
+import olivechute.identity.X509Svid;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** {@code identity show}: what a document says, and whether and why a node would refuse it. */
+@Command(name = "identity", mixinStandardHelpOptions = true, subcommands = IdentityCommand.Show.class,
+    description = "Looks at SPIFFE identities.")
+final class IdentityCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        throw new ParameterException(spec.commandLine(), "identity: needs a command");
+    }
+
+    @Command(name = "show", mixinStandardHelpOptions = true, sortOptions = false,
+        description = "Prints what an X.509 document says, and why it would be refused.",
+        footer = "Exit status: 0 it holds, 1 it would be refused or cannot be read, 2 wrong call.")
+    static final class Show implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
+        @Parameters(paramLabel = "FILE", description = "Certificates as PEM, the workload's first.")
+        private Path file;
+
+        @Option(names = "--bundle", paramLabel = "FILE", required = true,
+            description = "The authorities of the document's trust domain, as PEM.")
+        private Path bundle;
+
+        @Option(names = "--at", paramLabel = "TIME", description = "Judge it at this moment, as 2026-12-01T12:00:00Z; now if left out.")
+        private Instant at;
+
+        @Override
+        public Integer call() {
+            PrintWriter out = spec.commandLine().getOut();
+            try {
+                List<X509Certificate> chain = PemReader.certificates(text(file));
+                for (X509Certificate each : chain) {
+                    out.println(each.getSubjectX500Principal() + ", " + each.getSigAlgName() + ", from "
+                        + each.getNotBefore().toInstant() + " to " + each.getNotAfter().toInstant());
+                }
+                SpiffeId id = X509Check.leafId(chain.get(0));
+                out.println("names " + id);
+                TrustBundle held = new TrustBundle(id.trustDomain(), PemReader.certificates(text(bundle)), Map.of());
+                X509Svid svid = X509Check.check(chain, TrustBundles.EMPTY.with(held), at == null ? Instant.now() : at);
+                out.println("holds until " + svid.notAfter());
+                return 0;
+            } catch (RefusedException e) {
+                out.println("refused: " + e.getMessage());
+                return 1;
+            } catch (IOException e) {
+                spec.commandLine().getErr().println("cannot read " + e.getMessage());
+                return 1;
+            }
+        }
+
+        private static String text(Path file) throws IOException {
+            return new String(Files.readAllBytes(file), StandardCharsets.ISO_8859_1);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/identity/PemReader.java
@@ -0,0 +1,55 @@
+package olivechute.identity;
+
+import java.io.ByteArrayInputStream;
+import java.nio.charset.StandardCharsets;
+import java.security.cert.Certificate;
+import java.security.cert.CertificateException;
+import java.security.cert.CertificateFactory;
+import java.security.cert.X509Certificate;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import olivechute.identity.RefusedException.Reason;
+
+/** Certificates out of PEM text, in their order; other blocks and what stands between are passed over. */
+public final class PemReader {
+    private static final String BEGIN = "-----BEGIN CERTIFICATE-----";
+    private static final String END = "-----END CERTIFICATE-----";
+    private static final int MOST = 256 * 1024;
+    private static final int MOST_CERTIFICATES = 64;
+
+    private PemReader() { }
+
+    /** All certificates of a text, one at least; a {@link RefusedException} says what is wrong with it. */
+    public static List<X509Certificate> certificates(String text) throws RefusedException {
+        if (text.length() > MOST) {
+            throw new RefusedException(Reason.TOO_LARGE, "PEM of " + text.length() + " bytes, " + MOST + " at most");
+        }
+        List<X509Certificate> found = new ArrayList<>();
+        for (int at = text.indexOf(BEGIN); at >= 0; at = text.indexOf(BEGIN, at)) {
+            int end = text.indexOf(END, at);
+            if (end < 0) {
+                throw new RefusedException(Reason.UNREADABLE, "certificate " + (found.size() + 1) + " has no end");
+            }
+            if (found.size() == MOST_CERTIFICATES) {
+                throw new RefusedException(Reason.TOO_LARGE, "over " + MOST_CERTIFICATES + " certificates");
+            }
+            found.add(certificate(text.substring(at + BEGIN.length(), end), found.size() + 1));
+            at = end;
+        }
+        if (found.isEmpty()) {
+            throw new RefusedException(Reason.UNREADABLE, "no certificate in it");
+        }
+        return found;
+    }
+
+    private static X509Certificate certificate(String base64, int number) throws RefusedException {
+        try {
+            byte[] der = Base64.getMimeDecoder().decode(base64.getBytes(StandardCharsets.ISO_8859_1));
+            Certificate read = CertificateFactory.getInstance("X.509").generateCertificate(new ByteArrayInputStream(der));
+            return (X509Certificate) read;
+        } catch (CertificateException | IllegalArgumentException e) {
+            throw new RefusedException(Reason.UNREADABLE, "certificate " + number + ": " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/identity/X509Check.java
@@ -0,0 +1,200 @@
+package olivechute.identity;
+
+import java.security.GeneralSecurityException;
+import java.security.InvalidAlgorithmParameterException;
+import java.security.PublicKey;
+import java.security.cert.CertPath;
+import java.security.cert.CertPathValidator;
+import java.security.cert.CertPathValidatorException;
+import java.security.cert.CertificateException;
+import java.security.cert.CertificateFactory;
+import java.security.cert.CertificateParsingException;
+import java.security.cert.PKIXParameters;
+import java.security.cert.TrustAnchor;
+import java.security.cert.X509Certificate;
+import java.security.interfaces.ECPublicKey;
+import java.security.interfaces.EdECPublicKey;
+import java.security.interfaces.RSAPublicKey;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Date;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import olivechute.identity.RefusedException.Reason;
+
+/** Judges a chain of certificates as the X509-SVID standard says, at a moment that is told, against the bundles that are held. */
+public final class X509Check {
+    /** Longer chains are not looked at: each certificate is work that a stranger can ask for. */
+    private static final int MOST_CHAIN = 6;
+    private static final int LEAST_RSA = 2048;
+    private static final int LEAST_EC = 256;
+    private static final int URI = 6;                   // of a GeneralName, RFC 5280
+    private static final int DIGITAL_SIGNATURE = 0;     // bits of the key usage, RFC 5280
+    private static final int KEY_CERT_SIGN = 5;
+    private static final int CRL_SIGN = 6;
+    private static final String NAME_CONSTRAINTS = "2.5.29.30";
+    private static final String SERVER = "1.3.6.1.5.5.7.3.1";
+    private static final String CLIENT = "1.3.6.1.5.5.7.3.2";
+
+    private X509Check() { }
+
+    /** The identity that a chain shows, its leaf first; a {@link RefusedException} says why it does not hold. */
+    public static X509Svid check(List<X509Certificate> chain, TrustBundles bundles, Instant now) throws RefusedException {
+        if (chain.isEmpty()) {
+            throw new RefusedException(Reason.UNREADABLE, "no certificate");
+        }
+        if (chain.size() > MOST_CHAIN) {
+            throw new RefusedException(Reason.TOO_LARGE, chain.size() + " certificates, " + MOST_CHAIN + " at most");
+        }
+        X509Certificate leaf = chain.get(0);
+        SpiffeId id = leafId(leaf);
+        leafUsage(leaf);
+        for (X509Certificate each : chain) {
+            strong(each);
+        }
+        for (X509Certificate signer : chain.subList(1, chain.size())) {
+            signer(signer, id);
+        }
+        Instant end = lifetime(chain, now);
+        TrustBundle bundle = bundles.of(id);
+        vouched(chain, bundle, now);
+        return new X509Svid(id, List.copyOf(chain), end);
+    }
+
+    /** The one ID that a leaf names, whether it holds or not. */
+    public static SpiffeId leafId(X509Certificate leaf) throws RefusedException {
+        List<String> ids = uris(leaf);
+        if (ids.size() != 1) {
+            throw new RefusedException(Reason.NOT_ONE_ID, ids.size() + " URIs among the alternative names, exactly one is needed");
+        }
+        SpiffeId id = SpiffeId.parse(ids.get(0));
+        if (!id.workload()) {
+            throw new RefusedException(Reason.BAD_ID, "a leaf names a workload: its ID must have a path");
+        }
+        return id;
+    }
+
+    private static List<String> uris(X509Certificate certificate) throws RefusedException {
+        List<String> uris = new ArrayList<>();
+        try {
+            Collection<List<?>> names = certificate.getSubjectAlternativeNames();
+            for (List<?> name : names == null ? List.<List<?>>of() : names) {
+                if (name.get(0).equals(URI)) {
+                    uris.add((String) name.get(1));
+                }
+            }
+        } catch (CertificateParsingException e) {
+            throw new RefusedException(Reason.UNREADABLE, "alternative names: " + e.getMessage());
+        }
+        return uris;
+    }
+
+    private static void leafUsage(X509Certificate leaf) throws RefusedException {
+        boolean[] usage = leaf.getKeyUsage();
+        if (leaf.getBasicConstraints() >= 0 || usage != null && (usage[KEY_CERT_SIGN] || usage[CRL_SIGN])) {
+            throw new RefusedException(Reason.SIGNER_AS_LEAF, "a certificate that may sign others is no workload's");
+        }
+        if (usage == null || !usage[DIGITAL_SIGNATURE]) {
+            throw new RefusedException(Reason.WRONG_USAGE, "its key may not make signatures");
+        }
+        List<String> extended = extendedUsage(leaf);
+        if (extended != null && !(extended.contains(SERVER) && extended.contains(CLIENT))) {
+            throw new RefusedException(Reason.WRONG_USAGE, "extended usage without both server and client authentication");
+        }
+    }
+
+    private static List<String> extendedUsage(X509Certificate leaf) throws RefusedException {
+        try {
+            return leaf.getExtendedKeyUsage();
+        } catch (CertificateParsingException e) {
+            throw new RefusedException(Reason.UNREADABLE, "extended usage: " + e.getMessage());
+        }
+    }
+
+    private static void signer(X509Certificate signer, SpiffeId leaf) throws RefusedException {
+        boolean[] usage = signer.getKeyUsage();
+        if (signer.getBasicConstraints() < 0 || usage == null || !usage[KEY_CERT_SIGN]) {
+            throw new RefusedException(Reason.UNFIT_SIGNER, "a certificate between leaf and bundle that may not sign");
+        }
+        List<String> ids = uris(signer);
+        if (ids.size() > 1) {
+            throw new RefusedException(Reason.UNFIT_SIGNER, "a signing certificate with several URIs");
+        }
+        if (ids.size() == 1) {
+            SpiffeId id = SpiffeId.parse(ids.get(0));
+            if (id.workload() || !id.trustDomain().equals(leaf.trustDomain())) {
+                throw new RefusedException(Reason.UNFIT_SIGNER, "a signing certificate of " + id);
+            }
+        }
+    }
+
+    private static void strong(X509Certificate certificate) throws RefusedException {
+        PublicKey key = certificate.getPublicKey();
+        boolean strong = key instanceof RSAPublicKey rsa && rsa.getModulus().bitLength() >= LEAST_RSA
+            || key instanceof ECPublicKey ec && ec.getParams().getOrder().bitLength() >= LEAST_EC
+            || key instanceof EdECPublicKey;
+        if (!strong) {
+            throw new RefusedException(Reason.WEAK, "a key of " + key.getAlgorithm() + " that is too short or unknown");
+        }
+        String algorithm = certificate.getSigAlgName().toUpperCase(Locale.ROOT);
+        if (algorithm.contains("SHA1") || algorithm.contains("MD5") || algorithm.contains("MD2")) {
+            throw new RefusedException(Reason.WEAK, "signed with " + certificate.getSigAlgName());
+        }
+    }
+
+    /** When the first of the chain expires; all must hold now. */
+    private static Instant lifetime(List<X509Certificate> chain, Instant now) throws RefusedException {
+        Instant end = Instant.MAX;
+        for (X509Certificate each : chain) {
+            Instant from = each.getNotBefore().toInstant();
+            Instant to = each.getNotAfter().toInstant();
+            if (now.isBefore(from)) {
+                throw new RefusedException(Reason.NOT_YET, "holds from " + from + " on, it is " + now);
+            }
+            if (now.isAfter(to)) {
+                throw new RefusedException(Reason.EXPIRED, "expired at " + to + ", it is " + now);
+            }
+            end = to.isBefore(end) ? to : end;
+        }
+        return end;
+    }
+
+    /** What an authority constrains itself to: the platform looks at it only where it is told apart from the certificate. */
+    private static byte[] nameConstraints(X509Certificate authority) {
+        byte[] wrapped = authority.getExtensionValue(NAME_CONSTRAINTS);
+        if (wrapped == null) {
+            return null;
+        }
+        int lengthOctets = wrapped[1] >= 0 ? 0 : wrapped[1] & 0x7f;     // DER: tag, length in one octet or in so many more
+        return Arrays.copyOfRange(wrapped, 2 + lengthOctets, wrapped.length);
+    }
+
+    private static void vouched(List<X509Certificate> chain, TrustBundle bundle, Instant now) throws RefusedException {
+        Set<TrustAnchor> anchors = new HashSet<>();
+        for (X509Certificate authority : bundle.authorities()) {
+            boolean holds = !now.isBefore(authority.getNotBefore().toInstant())
+                && !now.isAfter(authority.getNotAfter().toInstant());
+            if (holds && authority.getBasicConstraints() >= 0) {
+                anchors.add(new TrustAnchor(authority, nameConstraints(authority)));
+            }
+        }
+        if (anchors.isEmpty()) {
+            throw new RefusedException(Reason.NOT_VOUCHED, "the bundle of " + bundle.trustDomain() + " holds no authority that holds now");
+        }
+        try {
+            PKIXParameters parameters = new PKIXParameters(anchors);
+            parameters.setRevocationEnabled(false);             // SVIDs live shortly instead
+            parameters.setDate(Date.from(now));
+            CertPath path = CertificateFactory.getInstance("X.509").generateCertPath(chain);
+            CertPathValidator.getInstance("PKIX").validate(path, parameters);
+        } catch (CertPathValidatorException | InvalidAlgorithmParameterException | CertificateException e) {
+            throw new RefusedException(Reason.NOT_VOUCHED, "bundle of " + bundle.trustDomain() + ": " + e.getMessage());
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("this platform has no PKIX", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/issuer/Authority.java
@@ -0,0 +1,96 @@
+package olivechute.issuer;
+
+import java.security.KeyPair;
+import java.security.PrivateKey;
+import java.security.cert.X509Certificate;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import olivechute.identity.SpiffeId;
+import olivechute.identity.TrustBundle;
+import olivechute.issuer.Certificates.Content;
+import olivechute.issuer.Certificates.Signer;
+import org.bouncycastle.asn1.x500.X500Name;
+import org.bouncycastle.asn1.x509.KeyPurposeId;
+import org.bouncycastle.asn1.x509.KeyUsage;
+
+/** A certificate authority of a trust domain: its root, or one that the root signed. */
+public final class Authority {
+    static final List<KeyPurposeId> BOTH = List.of(KeyPurposeId.id_kp_serverAuth, KeyPurposeId.id_kp_clientAuth);
+    private static final String ALGORITHM = "SHA256withECDSA";
+
+    private final String trustDomain;
+    private final KeyPair keys;
+    private final X509Certificate certificate;
+    private final List<X509Certificate> above;      // up to the root, which is left out
+
+    private Authority(String trustDomain, KeyPair keys, X509Certificate certificate, List<X509Certificate> above) {
+        this.trustDomain = trustDomain;
+        this.keys = keys;
+        this.certificate = certificate;
+        this.above = above;
+    }
+
+    /** A workload's document: its chain, the leaf first and the root left out, and its key. */
+    public record Issued(List<X509Certificate> chain, PrivateKey key) { }
+
+    /** A new root that holds from one moment to another. */
+    public static Authority root(String trustDomain, Instant from, Instant to) {
+        KeyPair keys = Certificates.ec();
+        Content content = signing(trustDomain, "root", keys, from, to);
+        return new Authority(trustDomain, keys,
+            Certificates.sign(content, new Signer(new X500Name(content.subject()), keys.getPrivate(), ALGORITHM)), List.of());
+    }
+
+    /** One that this one signs. */
+    public Authority intermediate(Instant from, Instant to) {
+        KeyPair next = Certificates.ec();
+        return below(next, signing(trustDomain, "intermediate", next, from, to));
+    }
+
+    Authority below(KeyPair next, Content content) {
+        List<X509Certificate> chain = new ArrayList<>(List.of(Certificates.sign(content, signer())));
+        chain.addAll(above);
+        return new Authority(trustDomain, next, chain.get(0), List.copyOf(chain));
+    }
+
+    static Content signing(String trustDomain, String name, KeyPair keys, Instant from, Instant to) {
+        return new Content("O=" + trustDomain + ",CN=" + name, keys, List.of("spiffe://" + trustDomain), true,
+            KeyUsage.keyCertSign | KeyUsage.cRLSign, null, from, to, null);
+    }
+
+    /** What a workload's certificate says when it is right. */
+    static Content leaf(String id, Instant from, Instant to) {
+        return new Content("O=workload", Certificates.ec(), List.of(id), false, KeyUsage.digitalSignature, BOTH, from, to, null);
+    }
+
+    Signer signer() {
+        return new Signer(X500Name.getInstance(certificate.getSubjectX500Principal().getEncoded()), keys.getPrivate(), ALGORITHM);
+    }
+
+    /** A document for a workload, with a key of its own. */
+    public Issued issue(SpiffeId id, Instant from, Instant to) {
+        return issue(leaf(id.toString(), from, to));
+    }
+
+    Issued issue(Content leaf) {
+        return issue(leaf, signer());
+    }
+
+    Issued issue(Content leaf, Signer by) {
+        List<X509Certificate> chain = new ArrayList<>(List.of(Certificates.sign(leaf, by)));
+        chain.addAll(above);
+        return new Issued(List.copyOf(chain), leaf.keys().getPrivate());
+    }
+
+    /** What vouches for what this one issues, if it is the root. */
+    public TrustBundle bundle() {
+        return new TrustBundle(trustDomain, List.of(certificate), Map.of());
+    }
+
+    /** Its own certificate. */
+    public X509Certificate certificate() {
+        return certificate;
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/issuer/Forgery.java
@@ -0,0 +1,140 @@
+package olivechute.issuer;
+
+import java.security.KeyPair;
+import java.security.cert.X509Certificate;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import olivechute.identity.RefusedException.Reason;
+import olivechute.issuer.Authority.Issued;
+import olivechute.issuer.Certificates.Content;
+import olivechute.issuer.Certificates.Signer;
+import org.bouncycastle.asn1.x500.X500Name;
+import org.bouncycastle.asn1.x509.KeyPurposeId;
+import org.bouncycastle.asn1.x509.KeyUsage;
+
+/** Documents that must be refused, each for one reason. They are of the trust domain that {@link Ground} sets up. */
+public enum Forgery {
+    SELF_SIGNED(Reason.NOT_VOUCHED, g -> alone(g.leaf())),
+    OTHER_ROOT_SAME_NAME(Reason.NOT_VOUCHED, g -> Authority.root(g.domain, g.from, g.to).issue(g.leaf())),
+    DOMAIN_OF_ANOTHER(Reason.NOT_VOUCHED, g -> g.root.issue(g.leaf().uris("spiffe://federated.example/w"))),
+    UNKNOWN_DOMAIN(Reason.UNKNOWN_DOMAIN, g -> g.root.issue(g.leaf().uris("spiffe://nowhere.example/w"))),
+    NO_URI(Reason.NOT_ONE_ID, g -> g.root.issue(g.leaf().uris(new String[0]))),
+    TWO_URIS(Reason.NOT_ONE_ID, g -> g.root.issue(g.leaf().uris(g.id, g.id + "2"))),
+    SAME_URI_TWICE(Reason.NOT_ONE_ID, g -> g.root.issue(g.leaf().uris(g.id, g.id))),
+    SIGNER_AS_LEAF(Reason.SIGNER_AS_LEAF, g -> g.root.issue(g.leaf().ca(true))),
+    LEAF_MAY_SIGN(Reason.SIGNER_AS_LEAF, g -> g.root.issue(g.leaf().usage(KeyUsage.digitalSignature | KeyUsage.keyCertSign))),
+    LEAF_MAY_SIGN_LISTS(Reason.SIGNER_AS_LEAF, g -> g.root.issue(g.leaf().usage(KeyUsage.digitalSignature | KeyUsage.cRLSign))),
+    NO_USAGE(Reason.WRONG_USAGE, g -> g.root.issue(g.leaf().usage(0))),
+    NO_SIGNATURES(Reason.WRONG_USAGE, g -> g.root.issue(g.leaf().usage(KeyUsage.keyEncipherment))),
+    SERVER_ONLY(Reason.WRONG_USAGE, g -> g.root.issue(g.leaf().extended(List.of(KeyPurposeId.id_kp_serverAuth)))),
+    MAIL_ONLY(Reason.WRONG_USAGE, g -> g.root.issue(g.leaf().extended(List.of(KeyPurposeId.id_kp_emailProtection)))),
+    EXPIRED(Reason.EXPIRED, g -> g.root.issue(g.leaf().time(g.from, g.now.minusSeconds(1)))),
+    NOT_YET(Reason.NOT_YET, g -> g.root.issue(g.leaf().time(g.now.plusSeconds(60), g.to))),
+    EXPIRED_INTERMEDIATE(Reason.EXPIRED, g -> g.root.intermediate(g.from, g.now.minusSeconds(1)).issue(g.leaf())),
+    UPPER_CASE_DOMAIN(Reason.BAD_ID, g -> g.root.issue(g.leaf().uris("spiffe://" + g.domain.toUpperCase() + "/w"))),
+    UPPER_CASE_SCHEME(Reason.BAD_ID, g -> g.root.issue(g.leaf().uris("SPIFFE://" + g.domain + "/w"))),
+    OTHER_SCHEME(Reason.BAD_ID, g -> g.root.issue(g.leaf().uris("https://" + g.domain + "/w"))),
+    DOT_SEGMENT(Reason.BAD_ID, g -> g.root.issue(g.leaf().uris("spiffe://" + g.domain + "/a/../w"))),
+    EMPTY_SEGMENT(Reason.BAD_ID, g -> g.root.issue(g.leaf().uris("spiffe://" + g.domain + "//w"))),
+    TRAILING_SLASH(Reason.BAD_ID, g -> g.root.issue(g.leaf().uris(g.id + "/"))),
+    PERCENT_CODED(Reason.BAD_ID, g -> g.root.issue(g.leaf().uris("spiffe://" + g.domain + "/%77"))),
+    QUERY(Reason.BAD_ID, g -> g.root.issue(g.leaf().uris(g.id + "?x=y"))),
+    PORT(Reason.BAD_ID, g -> g.root.issue(g.leaf().uris("spiffe://" + g.domain + ":443/w"))),
+    USER(Reason.BAD_ID, g -> g.root.issue(g.leaf().uris("spiffe://me@" + g.domain + "/w"))),
+    NO_PATH(Reason.BAD_ID, g -> g.root.issue(g.leaf().uris("spiffe://" + g.domain))),
+    OVER_LONG(Reason.BAD_ID, g -> g.root.issue(g.leaf().uris(g.id + "x".repeat(2048)))),
+    LONG_DOMAIN(Reason.BAD_ID, g -> g.root.issue(g.leaf().uris("spiffe://" + "d".repeat(256) + "/w"))),
+    LEAF_AS_INTERMEDIATE(Reason.UNFIT_SIGNER, g -> {
+        Issued thief = g.root.issue(g.leaf());
+        List<X509Certificate> chain = new ArrayList<>(List.of(Certificates.sign(g.leaf(), signer(thief))));
+        chain.addAll(thief.chain());
+        return new Issued(chain, thief.key());
+    }),
+    INTERMEDIATE_WITHOUT_RIGHT(Reason.UNFIT_SIGNER, g -> g.between(c -> c.usage(KeyUsage.digitalSignature)).issue(g.leaf())),
+    INTERMEDIATE_WITH_PATH(Reason.UNFIT_SIGNER, g -> g.between(c -> c.uris("spiffe://" + g.domain + "/ca")).issue(g.leaf())),
+    INTERMEDIATE_OF_ANOTHER(Reason.UNFIT_SIGNER, g -> g.between(c -> c.uris("spiffe://federated.example")).issue(g.leaf())),
+    OUTSIDE_CONSTRAINTS(Reason.NOT_VOUCHED, g -> g.between(c -> c.permitted("elsewhere.example")).issue(g.leaf())),
+    MISSING_INTERMEDIATE(Reason.NOT_VOUCHED, g -> {
+        Issued whole = g.root.intermediate(g.from, g.to).issue(g.leaf());
+        return new Issued(whole.chain().subList(0, 1), whole.key());
+    }),
+    SHORT_RSA(Reason.WEAK, g -> g.root.issue(g.leaf().keys(Certificates.rsa(1024)))),
+    SIGNED_WITH_SHA1(Reason.WEAK, g -> {
+        Signer by = g.root.signer();
+        return g.root.issue(g.leaf(), new Signer(by.name(), by.key(), "SHA1withECDSA"));
+    }),
+    LONG_CHAIN(Reason.TOO_LARGE, g -> {
+        Authority at = g.root;
+        for (int i = 0; i < 6; i++) {
+            at = at.intermediate(g.from, g.to);
+        }
+        return at.issue(g.leaf());
+    }),
+    EMPTY_CHAIN(Reason.UNREADABLE, g -> new Issued(List.of(), null));
+
+    private interface Make {
+        Issued make(Ground ground);
+    }
+
+    private interface Change {
+        Content change(Content content);
+    }
+
+    /** A trust domain to forge in: its root, the time it is, and the ID that forgeries claim. */
+    public static final class Ground {
+        private final String domain;
+        private final Authority root;
+        private final Instant now;
+        private final Instant from;
+        private final Instant to;
+        private final String id;
+
+        /** For a root of this trust domain, at this moment. */
+        public Ground(String domain, Authority root, Instant now) {
+            this.domain = domain;
+            this.root = root;
+            this.now = now;
+            this.from = now.minus(Duration.ofHours(1));
+            this.to = now.plus(Duration.ofHours(1));
+            this.id = "spiffe://" + domain + "/w";
+        }
+
+        private Content leaf() {
+            return Authority.leaf(id, from, to);
+        }
+
+        private Authority between(Change change) {
+            KeyPair keys = Certificates.ec();
+            return root.below(keys, change.change(Authority.signing(domain, "between", keys, from, to)));
+        }
+    }
+
+    private final Reason reason;
+    private final Make make;
+
+    Forgery(Reason reason, Make make) {
+        this.reason = reason;
+        this.make = make;
+    }
+
+    private static Issued alone(Content leaf) {
+        Signer own = new Signer(new X500Name(leaf.subject()), leaf.keys().getPrivate(), "SHA256withECDSA");
+        return new Issued(List.of(Certificates.sign(leaf, own)), leaf.keys().getPrivate());
+    }
+
+    private static Signer signer(Issued thief) {
+        return new Signer(X500Name.getInstance(thief.chain().get(0).getSubjectX500Principal().getEncoded()), thief.key(), "SHA256withECDSA");
+    }
+
+    /** Why it must be refused. */
+    public Reason reason() {
+        return reason;
+    }
+
+    /** Makes one. */
+    public Issued make(Ground ground) {
+        return make.make(ground);
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/issuer/Pem.java
@@ -0,0 +1,52 @@
+package olivechute.issuer;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.PosixFilePermission;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.security.PrivateKey;
+import java.security.cert.CertificateEncodingException;
+import java.security.cert.X509Certificate;
+import java.util.Base64;
+import java.util.List;
+import java.util.Set;
+
+/** Certificates and keys as PEM files, each replaced in one step, so that a reader sees the old one or the new one. */
+final class Pem {
+    private static final int COLUMNS = 64;
+    private static final byte[] END = {'\n'};
+    private static final Set<PosixFilePermission> OWNER = PosixFilePermissions.fromString("rw-------");
+
+    private Pem() { }
+
+    static void write(Path file, List<X509Certificate> chain) throws IOException {
+        StringBuilder text = new StringBuilder();
+        try {
+            for (X509Certificate each : chain) {
+                text.append(block("CERTIFICATE", each.getEncoded()));
+            }
+        } catch (CertificateEncodingException e) {
+            throw new IOException(file + ": " + e.getMessage(), e);
+        }
+        replace(file, text.toString());
+    }
+
+    /** A key in the form PKCS#8, which only its owner may read. */
+    static void write(Path file, PrivateKey key) throws IOException {
+        replace(file, block("PRIVATE KEY", key.getEncoded()));
+    }
+
+    private static String block(String type, byte[] der) {
+        return "-----BEGIN " + type + "-----\n" + Base64.getMimeEncoder(COLUMNS, END).encodeToString(der) + "\n-----END "
+            + type + "-----\n";
+    }
+
+    private static void replace(Path file, String text) throws IOException {
+        Path next = Files.createTempFile(file.toAbsolutePath().getParent(), file.getFileName().toString(), ".next",
+            PosixFilePermissions.asFileAttribute(OWNER));
+        Files.writeString(next, text);
+        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+}
--- /dev/null
+++ b/src/test/java/olivechute/issuer/ForgeryTest.java
@@ -0,0 +1,115 @@
+package olivechute.issuer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.time.Duration;
+import java.time.Instant;
+import olivechute.identity.RefusedException;
+import olivechute.identity.RefusedException.Reason;
+import olivechute.identity.SpiffeId;
+import olivechute.identity.TrustBundle;
+import olivechute.identity.TrustBundles;
+import olivechute.identity.X509Check;
+import olivechute.identity.X509Svid;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What is right holds, and each forgery is refused, for its own reason and for no other. */
+public class ForgeryTest {
+    private static final Instant NOW = Instant.parse("2026-12-01T12:00:00Z");
+    private static final Duration HOUR = Duration.ofHours(1);
+    private static final String DOMAIN = "dala.example";
+
+    private Authority root;
+    private Authority federated;
+    private TrustBundles bundles;
+
+    @BeforeClass
+    public void setUp() {
+        root = Authority.root(DOMAIN, NOW.minus(HOUR), NOW.plus(HOUR));
+        federated = Authority.root("federated.example", NOW.minus(HOUR), NOW.plus(HOUR));
+        bundles = TrustBundles.EMPTY.with(root.bundle()).with(federated.bundle());
+    }
+
+    private X509Svid check(Authority.Issued issued, TrustBundles held, Instant now) throws RefusedException {
+        return X509Check.check(issued.chain(), held, now);
+    }
+
+    private Reason refused(Authority.Issued issued, TrustBundles held, Instant now) {
+        return expectThrows(RefusedException.class, () -> check(issued, held, now)).reason();
+    }
+
+    @DataProvider
+    public Object[][] forgeries() {
+        Object[][] all = new Object[Forgery.values().length][];
+        for (Forgery f : Forgery.values()) {
+            all[f.ordinal()] = new Object[] {f};
+        }
+        return all;
+    }
+
+    @Test(dataProvider = "forgeries")
+    public void aForgeryIsRefusedForItsReason(Forgery forgery) {
+        RefusedException refused = expectThrows(RefusedException.class,
+            () -> check(forgery.make(new Forgery.Ground(DOMAIN, root, NOW)), bundles, NOW));
+        assertEquals(refused.reason(), forgery.reason(), refused.getMessage());
+        assertTrue(refused.getMessage().startsWith(refused.reason().name().toLowerCase().replace('_', '-') + ": "));
+    }
+
+    @Test
+    public void whatIsRightHoldsUntilTheFirstOfTheChainExpires() throws Exception {
+        SpiffeId id = SpiffeId.parse("spiffe://" + DOMAIN + "/sign-worker/s-1");
+        Authority between = root.intermediate(NOW.minus(HOUR), NOW.plusSeconds(90));
+        X509Svid svid = check(between.issue(id, NOW.minusSeconds(10), NOW.plusSeconds(600)), bundles, NOW);
+        assertEquals(svid.id(), id);
+        assertEquals(svid.notAfter(), NOW.plusSeconds(90));
+        assertEquals(check(root.issue(id, NOW, NOW.plusSeconds(5)), bundles, NOW.plusSeconds(5)).id(), id);
+        SpiffeId theirs = SpiffeId.parse("spiffe://federated.example/w");
+        assertEquals(check(federated.issue(theirs, NOW, NOW.plusSeconds(5)), bundles, NOW).id(), theirs);
+    }
+
+    /** The forgery outside of its signer's constraints is refused for these alone: inside, all else alike, it holds. */
+    @Test
+    public void insideTheConstraintsOfItsSignerItHolds() throws Exception {
+        java.security.KeyPair keys = Certificates.ec();
+        for (String host : new String[] {DOMAIN, "elsewhere.example"}) {
+            Authority between = root.below(keys, Authority.signing(DOMAIN, "between", keys, NOW.minus(HOUR), NOW.plus(HOUR))
+                .permitted(host));
+            Authority.Issued issued = between.issue(SpiffeId.parse("spiffe://" + DOMAIN + "/w"), NOW, NOW.plusSeconds(9));
+            if (host.equals(DOMAIN)) {
+                assertEquals(check(issued, bundles, NOW).id().path(), "/w");
+            } else {
+                assertEquals(refused(issued, bundles, NOW), Reason.NOT_VOUCHED);
+            }
+        }
+    }
+
+    /** A clock that steps, and a bundle that changes, show at the next look: nothing is remembered between two. */
+    @Test
+    public void theMomentAndTheBundlesOfTheLookDecide() throws Exception {
+        SpiffeId id = SpiffeId.parse("spiffe://" + DOMAIN + "/w");
+        Authority.Issued issued = root.issue(id, NOW.minusSeconds(10), NOW.plusSeconds(10));
+        assertEquals(check(issued, bundles, NOW).id(), id);
+        assertEquals(refused(issued, bundles, NOW.plusSeconds(11)), Reason.EXPIRED);
+        assertEquals(refused(issued, bundles, NOW.minusSeconds(11)), Reason.NOT_YET);
+        assertEquals(refused(issued, bundles.without(DOMAIN), NOW), Reason.UNKNOWN_DOMAIN);
+        Authority next = Authority.root(DOMAIN, NOW.minus(HOUR), NOW.plus(HOUR));
+        TrustBundle overlap = new TrustBundle(DOMAIN, java.util.List.of(root.certificate(), next.certificate()), java.util.Map.of());
+        assertEquals(check(issued, bundles.with(overlap), NOW).id(), id);
+        assertEquals(check(next.issue(id, NOW, NOW.plusSeconds(10)), bundles.with(overlap), NOW).id(), id);
+        assertEquals(refused(issued, bundles.with(next.bundle()), NOW), Reason.NOT_VOUCHED);
+    }
+
+    /** A root that has expired vouches for nobody, though the platform would not ask. */
+    @Test
+    public void anAuthorityThatDoesNotHoldNowVouchesForNobody() throws Exception {
+        Authority old = Authority.root(DOMAIN, NOW.minus(HOUR), NOW.minusSeconds(1));
+        Authority.Issued issued = old.issue(SpiffeId.parse("spiffe://" + DOMAIN + "/w"), NOW.minusSeconds(10), NOW.plusSeconds(10));
+        assertEquals(refused(issued, TrustBundles.EMPTY.with(old.bundle()), NOW), Reason.NOT_VOUCHED);
+        TrustBundle none = new TrustBundle(DOMAIN, java.util.List.of(), java.util.Map.of());
+        assertEquals(refused(issued, TrustBundles.EMPTY.with(none), NOW), Reason.NOT_VOUCHED);
+    }
+}
