Secure a connection by TLS between SPIFFE identities, as a state machine that knows no socket

Need: the second half of judging identities is a connection that carries them, fed bytes as all protocols here are.

Change: olivechute.tls has TlsMachine, one side round the JDK's SSLEngine, and TlsContext, an identity and its sessions. A peer is judged at the end of every handshake, a resumed one too, by that moment's bundles and clock; the refused get an alert and nothing else.

--- a/src/main/java/olivechute/cost/CostCommand.java
+++ b/src/main/java/olivechute/cost/CostCommand.java
@@ -60,6 +60,10 @@
         description = "What N idle connections take in resident memory, rather than counts.")
     private int connections;
 
+    @Option(names = "--handshakes", paramLabel = "N",
+        description = "CPU of N TLS handshakes, full and resumed, of both sides in one process, rather than counts.")
+    private int handshakes;
+
     @Option(names = "--core", paramLabel = "N", defaultValue = "1", description = "The core for --timed (${DEFAULT-VALUE}).")
     private int core;
 
@@ -80,6 +84,8 @@
                 new Timing(out, core, requests, rounds).run(scenarios, measured, against);
             } else if (calls) {
                 new CallTrace(out).run(scenarios, measured);
+            } else if (handshakes > 0) {
+                new Handshakes(out).run(handshakes);
             } else if (connections > 0) {
                 new Resident(out).run(measured, connections);
             } else if (classes) {
--- /dev/null
+++ b/src/main/java/olivechute/cost/Handshakes.java
@@ -0,0 +1,96 @@
+package olivechute.cost;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Locale;
+import java.util.function.Supplier;
+import olivechute.identity.RefusedException;
+import olivechute.identity.SpiffeId;
+import olivechute.identity.TrustBundles;
+import olivechute.issuer.Authority;
+import olivechute.tls.TlsContext;
+import olivechute.tls.TlsException;
+import olivechute.tls.TlsMachine;
+
+/** CPU and heap of handshakes between two machines in memory: what a connection costs beyond its sockets. */
+final class Handshakes {
+    private static final String DOMAIN = "cost.example";
+    private static final int WARM_UP = 200;
+
+    private final PrintWriter out;
+    private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    private Authority root;
+
+    Handshakes(PrintWriter out) {
+        this.out = out;
+    }
+
+    /** Prints a line for full handshakes and one for resumed ones. */
+    void run(int handshakes) throws IOException {
+        try {
+            Instant now = Instant.now();
+            root = Authority.root(DOMAIN, now.minusSeconds(60), now.plus(Duration.ofHours(1)));
+            TlsContext server = context("/node");
+            TlsContext client = context("/client");
+            // A dialler that knows no session yet makes a full handshake; a name for each keeps them apart.
+            measure("full", handshakes, i -> client.dialled("h" + i, 1), server::accepted);
+            measure("resumed", handshakes, i -> client.dialled("h", 1), server::accepted);
+            out.printf(Locale.ROOT, "chains judged: %d%n", client.judged() + server.judged());
+            out.flush();
+        } catch (TlsException | RefusedException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    private TlsContext context(String path) throws RefusedException {
+        Instant now = Instant.now();
+        Authority.Issued own = root.issue(SpiffeId.parse("spiffe://" + DOMAIN + path), now.minusSeconds(60),
+            now.plus(Duration.ofHours(1)));
+        TrustBundles bundles = TrustBundles.EMPTY.with(root.bundle());
+        return new TlsContext(own.chain(), own.key(), false, () -> bundles, Instant::now);
+    }
+
+    private interface Dial {
+        TlsMachine dial(int i);
+    }
+
+    private void measure(String name, int handshakes, Dial dial, Supplier<TlsMachine> accept) throws TlsException {
+        for (int i = 0; i < WARM_UP; i++) {
+            shake(dial.dial(-i), accept.get());
+        }
+        long cpu = threads.getCurrentThreadCpuTime();
+        long heap = ((com.sun.management.ThreadMXBean) threads).getThreadAllocatedBytes(Thread.currentThread().getId());
+        for (int i = 1; i <= handshakes; i++) {
+            shake(dial.dial(i), accept.get());
+        }
+        long used = threads.getCurrentThreadCpuTime() - cpu;
+        long allocated = ((com.sun.management.ThreadMXBean) threads).getThreadAllocatedBytes(Thread.currentThread().getId()) - heap;
+        out.printf(Locale.ROOT, "%-8s %8.0f us of CPU, %8d bytes allocated, both sides together%n", name,
+            used / 1000.0 / handshakes, allocated / handshakes);
+        out.flush();
+    }
+
+    private static void shake(TlsMachine client, TlsMachine server) throws TlsException {
+        while (carry(client, server) | carry(server, client)) {
+            // until neither has anything more to say, tickets included
+        }
+    }
+
+    private static boolean carry(TlsMachine from, TlsMachine to) throws TlsException {
+        from.work();
+        ByteBuffer said = from.toSend();
+        boolean any = said.hasRemaining();
+        while (said.hasRemaining()) {
+            int n = Math.min(said.remaining(), to.room().remaining());
+            to.room().put(said.slice().limit(n));
+            said.position(said.position() + n);
+            to.work();
+        }
+        return any;
+    }
+}
--- a/src/main/java/olivechute/identity/X509Check.java
+++ b/src/main/java/olivechute/identity/X509Check.java
@@ -1,5 +1,6 @@
 package olivechute.identity;
 
+import java.io.IOException;
 import java.security.GeneralSecurityException;
 import java.security.InvalidAlgorithmParameterException;
 import java.security.PublicKey;
@@ -11,6 +12,7 @@
 import java.security.cert.CertificateParsingException;
 import java.security.cert.PKIXParameters;
 import java.security.cert.TrustAnchor;
+import java.security.cert.X509CertSelector;
 import java.security.cert.X509Certificate;
 import java.security.interfaces.ECPublicKey;
 import java.security.interfaces.EdECPublicKey;
@@ -163,14 +165,23 @@
         return end;
     }
 
-    /** What an authority constrains itself to: the platform looks at it only where it is told apart from the certificate. */
-    private static byte[] nameConstraints(X509Certificate authority) {
+    /**
+     * True if an authority's own constraints on names let all of a chain be. The platform's validator takes no authority that has
+     * any, but looks at constraints where a certificate is selected by them.
+     */
+    private static boolean permits(X509Certificate authority, List<X509Certificate> chain) throws RefusedException {
         byte[] wrapped = authority.getExtensionValue(NAME_CONSTRAINTS);
         if (wrapped == null) {
-            return null;
+            return true;
         }
         int lengthOctets = wrapped[1] >= 0 ? 0 : wrapped[1] & 0x7f;     // DER: tag, length in one octet or in so many more
-        return Arrays.copyOfRange(wrapped, 2 + lengthOctets, wrapped.length);
+        X509CertSelector selector = new X509CertSelector();
+        try {
+            selector.setNameConstraints(Arrays.copyOfRange(wrapped, 2 + lengthOctets, wrapped.length));
+        } catch (IOException e) {
+            throw new RefusedException(Reason.NOT_VOUCHED, "an authority's name constraints cannot be read");
+        }
+        return chain.stream().allMatch(selector::match);
     }
 
     private static void vouched(List<X509Certificate> chain, TrustBundle bundle, Instant now) throws RefusedException {
@@ -178,12 +189,12 @@
         for (X509Certificate authority : bundle.authorities()) {
             boolean holds = !now.isBefore(authority.getNotBefore().toInstant())
                 && !now.isAfter(authority.getNotAfter().toInstant());
-            if (holds && authority.getBasicConstraints() >= 0) {
-                anchors.add(new TrustAnchor(authority, nameConstraints(authority)));
+            if (holds && authority.getBasicConstraints() >= 0 && permits(authority, chain)) {
+                anchors.add(new TrustAnchor(authority, null));
             }
         }
         if (anchors.isEmpty()) {
-            throw new RefusedException(Reason.NOT_VOUCHED, "the bundle of " + bundle.trustDomain() + " holds no authority that holds now");
+            throw new RefusedException(Reason.NOT_VOUCHED, "the bundle of " + bundle.trustDomain() + " has no authority that holds now and may vouch for this name");
         }
         try {
             PKIXParameters parameters = new PKIXParameters(anchors);
--- a/src/main/java/olivechute/issuer/Authority.java
+++ b/src/main/java/olivechute/issuer/Authority.java
@@ -37,8 +37,11 @@
 
     /** A new root that holds from one moment to another. */
     public static Authority root(String trustDomain, Instant from, Instant to) {
-        KeyPair keys = Certificates.ec();
-        Content content = signing(trustDomain, "root", keys, from, to);
+        return root(trustDomain, signing(trustDomain, "root", Certificates.ec(), from, to));
+    }
+
+    static Authority root(String trustDomain, Content content) {
+        KeyPair keys = content.keys();
         return new Authority(trustDomain, keys,
             Certificates.sign(content, new Signer(new X500Name(content.subject()), keys.getPrivate(), ALGORITHM)), List.of());
     }
--- /dev/null
+++ b/src/main/java/olivechute/tls/TlsContext.java
@@ -0,0 +1,200 @@
+package olivechute.tls;
+
+import java.net.Socket;
+import java.security.GeneralSecurityException;
+import java.security.PrivateKey;
+import java.security.SecureRandom;
+import java.security.cert.Certificate;
+import java.security.cert.CertificateException;
+import java.security.cert.X509Certificate;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import javax.net.ssl.KeyManager;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLEngine;
+import javax.net.ssl.SSLPeerUnverifiedException;
+import javax.net.ssl.SSLSession;
+import javax.net.ssl.TrustManager;
+import javax.net.ssl.X509ExtendedKeyManager;
+import javax.net.ssl.X509ExtendedTrustManager;
+import olivechute.identity.RefusedException;
+import olivechute.identity.TrustBundles;
+import olivechute.identity.X509Check;
+import olivechute.identity.X509Svid;
+
+/**
+ * One identity of our own and the sessions that were made under it. When the identity is renewed, a new context takes its place and the
+ * old sessions with it. Bundles and moment are asked for at each handshake, a resumed one too: there the platform asks nobody, so the
+ * peer's chain of the first is judged again.
+ */
+public final class TlsContext {
+    /** Both versions that are spoken; the older one only where the settings say so. */
+    private static final String[] STRICT = {"TLSv1.3"};
+    private static final String[] LENIENT = {"TLSv1.3", "TLSv1.2"};
+    private static final int SESSIONS = 512;
+
+    private final SSLContext context;
+    private final String[] versions;
+    private final Supplier<TrustBundles> bundles;
+    private final Supplier<Instant> clock;
+    private final AtomicLong judged = new AtomicLong();
+
+    /** {@code chain} and {@code key} are our own, the leaf first; {@code lenient} lets TLS 1.2 in beside 1.3. */
+    public TlsContext(List<X509Certificate> chain, PrivateKey key, boolean lenient, Supplier<TrustBundles> bundles,
+                      Supplier<Instant> clock) {
+        this.versions = lenient ? LENIENT : STRICT;
+        this.bundles = bundles;
+        this.clock = clock;
+        try {
+            context = SSLContext.getInstance("TLS");
+            context.init(new KeyManager[] {new OwnKey(chain.toArray(new X509Certificate[0]), key)},
+                new TrustManager[] {new Judge()}, new SecureRandom());
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("this platform has no TLS", e);
+        }
+        context.getClientSessionContext().setSessionCacheSize(SESSIONS);
+        context.getServerSessionContext().setSessionCacheSize(SESSIONS);
+    }
+
+    /** For a connection that was accepted; the client must show an identity. */
+    public TlsMachine accepted() {
+        SSLEngine engine = context.createSSLEngine();
+        engine.setUseClientMode(false);
+        engine.setNeedClientAuth(true);
+        engine.setEnabledProtocols(versions);
+        return new TlsMachine(engine, this);
+    }
+
+    /** For one that is dialled; sessions are kept by the peer's name, and resumed with the same name only. */
+    public TlsMachine dialled(String peer, int port) {
+        SSLEngine engine = context.createSSLEngine(peer, port);
+        engine.setUseClientMode(true);
+        engine.setEnabledProtocols(versions);
+        return new TlsMachine(engine, this);
+    }
+
+    /** Full handshakes in which a peer's chain was judged, whatever came out: a resumed one has none. */
+    public long judged() {
+        return judged.get();
+    }
+
+    /** The peer's identity in a session, as it is judged now. */
+    X509Svid peer(SSLSession session) throws RefusedException, SSLPeerUnverifiedException {
+        List<X509Certificate> chain = new ArrayList<>();
+        for (Certificate each : session.getPeerCertificates()) {
+            chain.add((X509Certificate) each);
+        }
+        return X509Check.check(chain, bundles.get(), clock.get());
+    }
+
+    private void judge(X509Certificate[] chain) throws CertificateException {
+        judged.incrementAndGet();
+        try {
+            X509Check.check(List.of(chain), bundles.get(), clock.get());
+        } catch (RefusedException e) {
+            throw new CertificateException(e.getMessage());
+        }
+    }
+
+    /** Asks our own judgement of either side; names of hosts play no part in it. */
+    private final class Judge extends X509ExtendedTrustManager {
+        @Override
+        public void checkClientTrusted(X509Certificate[] chain, String kind, SSLEngine engine) throws CertificateException {
+            judge(chain);
+        }
+
+        @Override
+        public void checkServerTrusted(X509Certificate[] chain, String kind, SSLEngine engine) throws CertificateException {
+            judge(chain);
+        }
+
+        @Override
+        public void checkClientTrusted(X509Certificate[] chain, String kind, Socket socket) throws CertificateException {
+            judge(chain);
+        }
+
+        @Override
+        public void checkServerTrusted(X509Certificate[] chain, String kind, Socket socket) throws CertificateException {
+            judge(chain);
+        }
+
+        @Override
+        public void checkClientTrusted(X509Certificate[] chain, String kind) throws CertificateException {
+            judge(chain);
+        }
+
+        @Override
+        public void checkServerTrusted(X509Certificate[] chain, String kind) throws CertificateException {
+            judge(chain);
+        }
+
+        @Override
+        public X509Certificate[] getAcceptedIssuers() {
+            return new X509Certificate[0];      // says nothing of whom we trust to who is not known yet
+        }
+    }
+
+    /** The one key that we have, for whoever asks. */
+    private static final class OwnKey extends X509ExtendedKeyManager {
+        private static final String ALIAS = "svid";
+
+        private final X509Certificate[] chain;
+        private final PrivateKey key;
+
+        OwnKey(X509Certificate[] chain, PrivateKey key) {
+            this.chain = chain;
+            this.key = key;
+        }
+
+        private String alias(String kind) {
+            return key.getAlgorithm().equals(kind) ? ALIAS : null;
+        }
+
+        private String alias(String[] kinds) {
+            return List.of(kinds).contains(key.getAlgorithm()) ? ALIAS : null;
+        }
+
+        @Override
+        public String chooseEngineClientAlias(String[] kinds, java.security.Principal[] issuers, SSLEngine engine) {
+            return alias(kinds);
+        }
+
+        @Override
+        public String chooseEngineServerAlias(String kind, java.security.Principal[] issuers, SSLEngine engine) {
+            return alias(kind);
+        }
+
+        @Override
+        public String chooseClientAlias(String[] kinds, java.security.Principal[] issuers, Socket socket) {
+            return alias(kinds);
+        }
+
+        @Override
+        public String chooseServerAlias(String kind, java.security.Principal[] issuers, Socket socket) {
+            return alias(kind);
+        }
+
+        @Override
+        public String[] getClientAliases(String kind, java.security.Principal[] issuers) {
+            return new String[] {ALIAS};
+        }
+
+        @Override
+        public String[] getServerAliases(String kind, java.security.Principal[] issuers) {
+            return new String[] {ALIAS};
+        }
+
+        @Override
+        public X509Certificate[] getCertificateChain(String alias) {
+            return chain.clone();
+        }
+
+        @Override
+        public PrivateKey getPrivateKey(String alias) {
+            return key;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/tls/TlsMachine.java
@@ -0,0 +1,224 @@
+package olivechute.tls;
+
+import java.nio.ByteBuffer;
+import javax.net.ssl.SSLEngine;
+import javax.net.ssl.SSLEngineResult;
+import javax.net.ssl.SSLEngineResult.HandshakeStatus;
+import javax.net.ssl.SSLEngineResult.Status;
+import javax.net.ssl.SSLException;
+import olivechute.identity.RefusedException;
+import olivechute.identity.X509Svid;
+
+/**
+ * One side of a TLS connection, fed bytes. Its driver reads into {@link #room}, says how much with {@link #filled}, has {@link #work} make
+ * something of it, sends {@link #toSend} and takes {@link #received}; {@link #send} makes plain bytes ready to be sent. Nothing is received
+ * or sent before the peer's identity holds. Buffers are bounded by the protocol's records. For one thread at a time.
+ */
+public final class TlsMachine {
+    private static final byte HANDSHAKE_RECORD = 22;
+    /** Records of a handshake that a peer may send: more than any needs, fewer than would keep a core busy. */
+    private static final int MOST_RECORDS = 64;
+
+    private final SSLEngine engine;
+    private final TlsContext context;
+    private ByteBuffer in;              // from the peer, to be written to
+    private ByteBuffer out;             // for the peer, to be written to
+    private ByteBuffer plain;           // from the peer, to be written to
+    private boolean begun;
+    private boolean spoken;
+    private boolean closed;
+    private int records;
+    private X509Svid peer;
+
+    TlsMachine(SSLEngine engine, TlsContext context) {
+        this.engine = engine;
+        this.context = context;
+        int record = engine.getSession().getPacketBufferSize();
+        in = ByteBuffer.allocate(record);
+        out = ByteBuffer.allocate(record);
+        plain = ByteBuffer.allocate(engine.getSession().getApplicationBufferSize());
+    }
+
+    /** Where the peer's bytes are to be read to. */
+    public ByteBuffer room() {
+        return in;
+    }
+
+    /** True if bytes can be read; if not, what is received is to be taken first. */
+    public boolean hasRoom() {
+        return in.hasRemaining();
+    }
+
+    /**
+     * Goes on as far as it can with what was read to {@link #room}. A {@link TlsException} ends the connection, once what is to be sent is
+     * sent.
+     */
+    public void work() throws TlsException {
+        try {
+            begin();
+            in.flip();
+            try {
+                if (!spoken && in.hasRemaining()) {
+                    spoken = true;
+                    if (in.get(0) != HANDSHAKE_RECORD) {
+                        closed = true;
+                        throw new TlsException("no TLS: its first byte is " + (in.get(0) & 0xff));
+                    }
+                }
+                while (step()) {
+                    // one record or one task after the other
+                }
+            } finally {
+                in.compact();
+            }
+        } catch (SSLException e) {
+            closed = true;
+            alert();
+            throw new TlsException(reason(e));
+        }
+    }
+
+    private static String reason(SSLException e) {
+        Throwable cause = e;
+        while (cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        return String.valueOf(cause.getMessage());
+    }
+
+    private void begin() throws SSLException {
+        if (!begun) {
+            begun = true;
+            engine.beginHandshake();
+        }
+    }
+
+    /** One record or task; false if there is nothing to go on with. */
+    private boolean step() throws SSLException, TlsException {
+        HandshakeStatus status = engine.getHandshakeStatus();
+        switch (status) {
+            case NEED_TASK -> {
+                Runnable task = engine.getDelegatedTask();
+                if (task != null) {
+                    task.run();         // on the connection's own thread: it has nothing else to do until then
+                }
+                return true;
+            }
+            case NEED_WRAP -> {
+                return wrap(ByteBuffer.allocate(0));
+            }
+            default -> {
+                return !closed && in.hasRemaining() && unwrap();
+            }
+        }
+    }
+
+    private boolean unwrap() throws SSLException, TlsException {
+        SSLEngineResult result = engine.unwrap(in, plain);
+        if (result.getStatus() == Status.BUFFER_OVERFLOW || result.getStatus() == Status.BUFFER_UNDERFLOW) {
+            return false;               // what is received must be taken, or more must come
+        }
+        if (peer == null && ++records > MOST_RECORDS) {
+            closed = true;
+            throw new TlsException("over " + MOST_RECORDS + " records of a handshake");
+        }
+        finished(result);
+        if (result.getStatus() == Status.CLOSED) {
+            closed = true;
+            return engine.getHandshakeStatus() == HandshakeStatus.NEED_WRAP;
+        }
+        return true;
+    }
+
+    private boolean wrap(ByteBuffer from) throws SSLException, TlsException {
+        SSLEngineResult result = engine.wrap(from, out);
+        while (result.getStatus() == Status.BUFFER_OVERFLOW) {
+            out = ByteBuffer.allocate(out.position() + engine.getSession().getPacketBufferSize()).put(out.flip());
+            result = engine.wrap(from, out);
+        }
+        finished(result);
+        return result.getStatus() == Status.OK && (result.bytesProduced() > 0 || result.bytesConsumed() > 0);
+    }
+
+    /** At the end of each handshake the peer's identity is judged, whether the platform asked for it or took it from a former session. */
+    private void finished(SSLEngineResult result) throws TlsException, SSLException {
+        if (result.getHandshakeStatus() != HandshakeStatus.FINISHED) {
+            return;
+        }
+        try {
+            peer = context.peer(engine.getSession());
+        } catch (RefusedException e) {
+            closed = true;
+            engine.getSession().invalidate();
+            engine.closeOutbound();
+            alert();
+            throw new TlsException(e.getMessage());
+        }
+    }
+
+    /** What the engine still has to say to a peer that is let go. */
+    private void alert() {
+        try {
+            while (engine.getHandshakeStatus() == HandshakeStatus.NEED_WRAP
+                && engine.wrap(ByteBuffer.allocate(0), out).bytesProduced() > 0) {
+                // an alert takes one record
+            }
+        } catch (SSLException e) {
+            return;                     // nothing more to say
+        }
+    }
+
+    /** Makes plain bytes ready to be sent, all of them; only once {@link #open}. */
+    public void send(ByteBuffer bytes) throws TlsException {
+        if (!open()) {
+            throw new TlsException("not open");
+        }
+        try {
+            while (bytes.hasRemaining()) {
+                wrap(bytes);
+            }
+        } catch (SSLException e) {
+            closed = true;
+            throw new TlsException(reason(e));
+        }
+    }
+
+    /** Says that no more will come from this side. */
+    public void finish() {
+        engine.closeOutbound();
+        closed = true;
+        alert();
+    }
+
+    /** Hands out what is to be sent to the peer, which the driver must send or copy before it goes on. */
+    public ByteBuffer toSend() {
+        ByteBuffer ready = ByteBuffer.wrap(out.array(), 0, out.position());
+        out = out.position() == 0 ? out : ByteBuffer.allocate(engine.getSession().getPacketBufferSize());
+        return ready;
+    }
+
+    /** Hands out what the peer said, in plain bytes; empty until its identity holds. */
+    public ByteBuffer received() {
+        if (peer == null || plain.position() == 0) {
+            return ByteBuffer.allocate(0);
+        }
+        ByteBuffer ready = plain.flip();
+        plain = ByteBuffer.allocate(ready.capacity());
+        return ready;
+    }
+
+    /** True from the end of the handshake, its identity judged, to the connection's end. */
+    public boolean open() {
+        return peer != null && !closed;
+    }
+
+    /** True once nothing more is read. */
+    public boolean closed() {
+        return closed;
+    }
+
+    /** Who the peer is, null until that is settled. */
+    public X509Svid peer() {
+        return peer;
+    }
+}
--- a/src/test/java/olivechute/issuer/ForgeryTest.java
+++ b/src/test/java/olivechute/issuer/ForgeryTest.java
@@ -87,6 +87,22 @@
         }
     }
 
+    /** The platform's validator passes over what an authority constrains itself to; ours does not. */
+    @Test
+    public void anAuthorityIsBoundByItsOwnConstraints() throws Exception {
+        for (String host : new String[] {DOMAIN, "elsewhere.example"}) {
+            Authority own = Authority.root(DOMAIN, Authority.signing(DOMAIN, "root", Certificates.ec(), NOW.minus(HOUR),
+                NOW.plus(HOUR)).permitted(host));
+            Authority.Issued issued = own.issue(SpiffeId.parse("spiffe://" + DOMAIN + "/w"), NOW, NOW.plusSeconds(9));
+            TrustBundles held = TrustBundles.EMPTY.with(own.bundle());
+            if (host.equals(DOMAIN)) {
+                assertEquals(check(issued, held, NOW).id().path(), "/w");
+            } else {
+                assertEquals(refused(issued, held, NOW), Reason.NOT_VOUCHED);
+            }
+        }
+    }
+
     /** A clock that steps, and a bundle that changes, show at the next look: nothing is remembered between two. */
     @Test
     public void theMomentAndTheBundlesOfTheLookDecide() throws Exception {
--- /dev/null
+++ b/src/test/java/olivechute/tls/TlsMachineTest.java
@@ -0,0 +1,209 @@
+package olivechute.tls;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.IdentityHashMap;
+import java.util.Map;
+import java.util.Random;
+import olivechute.identity.SpiffeId;
+import olivechute.identity.TrustBundles;
+import olivechute.issuer.Authority;
+import olivechute.issuer.Forgery;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Two machines whose bytes are carried from one to the other in pieces of any size. */
+public class TlsMachineTest {
+    private static final String DOMAIN = "dala.example";
+    private static final Duration HOUR = Duration.ofHours(1);
+    private static final long SEED = 41;
+
+    private final Random random = new Random(SEED);
+    private final Map<TlsMachine, String> heard = new IdentityHashMap<>();
+    private Instant now;
+    private Authority root;
+    private TrustBundles bundles;
+
+    @BeforeMethod
+    public void setUp() {
+        now = Instant.now();
+        root = Authority.root(DOMAIN, now.minus(HOUR), now.plus(HOUR));
+        bundles = TrustBundles.EMPTY.with(root.bundle());
+    }
+
+    private TlsContext context(Authority.Issued own, boolean lenient) {
+        return new TlsContext(own.chain(), own.key(), lenient, () -> bundles, () -> now);
+    }
+
+    private Authority.Issued issue(String path) throws Exception {
+        return root.issue(SpiffeId.parse("spiffe://" + DOMAIN + path), now.minusSeconds(60), now.plusSeconds(60));
+    }
+
+    /** Carries what each has to say to the other until neither has any more; the first fault ends it once all is carried. */
+    private void carry(TlsMachine one, TlsMachine other) throws TlsException {
+        TlsException fault = null;
+        ByteArrayOutputStream toOne = new ByteArrayOutputStream();
+        ByteArrayOutputStream toOther = new ByteArrayOutputStream();
+        for (boolean moved = true; moved;) {
+            moved = false;
+            for (TlsMachine side : new TlsMachine[] {one, other}) {
+                try {
+                    side.work();
+                } catch (TlsException e) {
+                    fault = fault == null ? e : fault;
+                }
+                heard.merge(side, text(side.received()), String::concat);
+                ByteBuffer said = side.toSend();
+                (side == one ? toOther : toOne).write(said.array(), said.arrayOffset() + said.position(), said.remaining());
+            }
+            moved |= feed(one, toOne) | feed(other, toOther);
+        }
+        if (fault != null) {
+            throw fault;
+        }
+    }
+
+    private boolean feed(TlsMachine side, ByteArrayOutputStream waiting) {
+        byte[] all = waiting.toByteArray();
+        int n = Math.min(Math.min(all.length, side.room().remaining()), 1 + random.nextInt(3000));
+        if (n == 0 || side.closed()) {
+            return false;
+        }
+        side.room().put(all, 0, n);
+        waiting.reset();
+        waiting.write(all, n, all.length - n);
+        return true;
+    }
+
+    private static ByteBuffer bytes(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static String text(ByteBuffer received) {
+        return StandardCharsets.ISO_8859_1.decode(received).toString();
+    }
+
+    @DataProvider
+    public Object[][] versions() {
+        return new Object[][] {{false}, {true}};
+    }
+
+    @Test(dataProvider = "versions")
+    public void bothSidesKnowEachOtherAndHearEachOther(boolean lenient) throws Exception {
+        TlsMachine node = context(issue("/node"), lenient).accepted();
+        TlsMachine client = context(issue("/client"), lenient).dialled("node", 1);
+        assertFalse(client.open());
+        carry(client, node);
+        assertEquals(node.peer().id().path() + client.peer().id().path(), "/client/node");
+        String document = "x".repeat(40_000);
+        client.send(bytes(document));
+        carry(client, node);
+        assertTrue(heard.get(node).equals(document), heard.get(node).length() + " heard, seed " + SEED);
+        node.send(bytes("signed"));
+        carry(client, node);
+        assertEquals(heard.get(client), "signed");
+        client.finish();
+        carry(client, node);
+        assertTrue(node.closed());
+    }
+
+    /** The second connection to a peer makes no chain travel, yet the identity it stands for is judged as it is then. */
+    @Test
+    public void aResumedSessionIsJudgedByThatMomentsBundlesAndClock() throws Exception {
+        TlsContext server = context(issue("/node"), false);
+        TlsContext dialler = context(issue("/client"), false);
+        for (int i = 0; i < 4; i++) {
+            TlsMachine node = server.accepted();
+            TlsMachine client = dialler.dialled("node", 1);
+            carry(client, node);
+            assertEquals(client.peer().id().path(), "/node");
+        }
+        assertEquals(dialler.judged() + server.judged(), 2, "one full handshake, three resumed");
+        now = now.plusSeconds(61);
+        TlsMachine node = server.accepted();
+        TlsMachine client = dialler.dialled("node", 1);
+        String told = expectThrows(TlsException.class, () -> carry(client, node)).getMessage();
+        assertTrue(told.startsWith("expired: "), told);
+        assertFalse(client.open() || node.open());
+    }
+
+    @Test
+    public void aWithdrawnAuthorityEndsWhatItVouchedForAtTheNextHandshake() throws Exception {
+        TlsContext server = context(issue("/node"), false);
+        TlsContext dialler = context(issue("/client"), false);
+        carry(dialler.dialled("node", 1), server.accepted());
+        bundles = TrustBundles.EMPTY.with(Authority.root(DOMAIN, now.minus(HOUR), now.plus(HOUR)).bundle());
+        TlsMachine client = dialler.dialled("node", 1);
+        String told = expectThrows(TlsException.class, () -> carry(client, server.accepted())).getMessage();
+        assertTrue(told.startsWith("not-vouched: "), told);
+    }
+
+    @DataProvider
+    public Object[][] forgeries() {
+        return java.util.Arrays.stream(Forgery.values())
+            .filter(f -> f != Forgery.EMPTY_CHAIN && f != Forgery.SHORT_RSA && f != Forgery.SIGNED_WITH_SHA1)  // the JDK sends none
+            .map(f -> new Object[] {f}).toArray(Object[][]::new);
+    }
+
+    /** Refused on either side; the log learns why, the forger gets an alert and not a byte of what the other would have said. */
+    @Test(dataProvider = "forgeries")
+    public void aForgedIdentityGetsNoMoreThanAnAlert(Forgery forgery) throws Exception {
+        TlsContext forged = context(forgery.make(new Forgery.Ground(DOMAIN, root, now)), false);
+        TlsContext honest = context(issue("/node"), false);
+        for (boolean accepting : new boolean[] {true, false}) {
+            TlsMachine victim = accepting ? honest.accepted() : honest.dialled("x", 1);
+            TlsMachine forger = accepting ? forged.dialled("x", 1) : forged.accepted();
+            expectThrows(TlsException.class, () -> carry(victim, forger));
+            assertNull(victim.peer());
+            assertFalse(victim.open());
+            assertEquals(heard.get(forger), "");
+            expectThrows(TlsException.class, () -> victim.send(bytes("secret")));
+        }
+    }
+
+    @Test
+    public void plainTextIsToldByItsFirstByte() throws Exception {
+        TlsMachine node = context(issue("/node"), false).accepted();
+        node.room().put((byte) 'P');
+        String told = expectThrows(TlsException.class, node::work).getMessage();
+        assertEquals(told, "no TLS: its first byte is 80");
+        assertTrue(node.closed());
+        assertEquals(node.toSend().remaining(), 0);
+    }
+
+    /** Rubbish after a right beginning: the connection ends by the one exception that is declared, and says nothing but alerts. */
+    @Test
+    public void rubbishEndsTheConnectionAndNothingElse() throws Exception {
+        TlsContext context = context(issue("/node"), false);
+        int ended = 0;
+        for (int i = 0; i < 300; i++) {
+            TlsMachine node = context.accepted();
+            byte[] rubbish = new byte[5 + random.nextInt(400)];
+            random.nextBytes(rubbish);
+            rubbish[0] = 22;
+            rubbish[1] = 3;
+            rubbish[2] = 3;
+            rubbish[3] = 0;
+            rubbish[4] = (byte) random.nextInt(rubbish.length > 200 ? 127 : rubbish.length);
+            node.room().put(rubbish);
+            try {
+                node.work();
+            } catch (TlsException e) {
+                ended++;
+            }
+            assertFalse(node.open());
+            assertTrue(node.toSend().remaining() < 64);
+        }
+        assertTrue(ended > 200, ended + " of 300 ended at once, seed " + SEED);
+    }
+}
