--- a/src/main/java/olivechute/Commands.java
+++ b/src/main/java/olivechute/Commands.java
@@ -6,17 +6,17 @@
 import java.util.concurrent.Callable;
 import olivechute.benchlink.BenchLink;
 import olivechute.config.BadValueException;
+import olivechute.config.LogForm;
 import olivechute.config.NodeConfig;
 import olivechute.cost.CostCommand;
 import olivechute.issuer.IssuerCommand;
-import olivechute.log.LogForm;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import picocli.CommandLine;
 
 /** The command line in full. {@code serve} as the platform calls it never comes here, and so loads none of it. */
 @Command(name = "olivechute", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
--- a/src/main/java/olivechute/Main.java
+++ b/src/main/java/olivechute/Main.java
@@ -4,8 +4,8 @@
 import java.util.concurrent.CompletableFuture;
 import olivechute.benchlink.BenchLink;
 import olivechute.config.BadValueException;
+import olivechute.config.LogForm;
 import olivechute.config.NodeConfig;
-import olivechute.log.LogForm;
 import org.tinylog.Logger;
 import sun.misc.Signal;
 
--- /dev/null
+++ b/src/main/java/olivechute/access/HostRules.java
@@ -0,0 +1,68 @@
+package olivechute.access;
+
+import java.util.List;
+import olivechute.config.BadValueException;
+import olivechute.identity.RefusedException;
+import olivechute.identity.SpiffeId;
+
+/**
+ * Which identity the upstream host of a given name must have, as discovery names it. The first rule that is about a name decides; a name
+ * that none is about has no identity, so nobody can be it.
+ */
+public final class HostRules {
+    /** Stands for the host's name in an ID. */
+    private static final String NAME = "{host}";
+    private static final String ANY = "*";
+
+    private final List<Rule> rules;
+
+    /** {@code host} is a name, or a beginning of names with a star after it; {@code id} is an ID that may hold {@code {host}}. */
+    public record Rule(String host, String id) {
+        /** Checks both; {@code key} is blamed. */
+        public static Rule parse(String key, String host, String id) {
+            if (host.isEmpty() || host.indexOf('*') >= 0 && host.indexOf('*') != host.length() - 1) {
+                throw new BadValueException(key + ".host: must be a name, or a beginning of some with a star after it");
+            }
+            try {
+                if (!SpiffeId.parse(id.replace(NAME, "h")).workload()) {
+                    throw new BadValueException(key + ".id: must name a workload: it has no path");
+                }
+            } catch (RefusedException e) {
+                throw new BadValueException(key + ".id: must be a SPIFFE ID, in which {host} may stand: " + e.getMessage());
+            }
+            int slash = id.indexOf('/', "spiffe://".length());
+            if (id.indexOf(NAME) >= 0 && id.indexOf(NAME) < slash) {
+                throw new BadValueException(key + ".id: a trust domain is not to hang on a host's name");
+            }
+            return new Rule(host, id);
+        }
+
+        boolean about(String name) {
+            return host.endsWith(ANY) ? name.startsWith(host.substring(0, host.length() - 1)) : host.equals(name);
+        }
+    }
+
+    /** In their order. */
+    public HostRules(List<Rule> rules) {
+        this.rules = List.copyOf(rules);
+    }
+
+    /** The ID that the host of this name must show, null if there is none that would do. */
+    public SpiffeId wanted(String host) {
+        for (Rule rule : rules) {
+            if (rule.about(host)) {
+                try {
+                    return host.indexOf('/') >= 0 ? null : SpiffeId.parse(rule.id.replace(NAME, host));
+                } catch (RefusedException unfit) {
+                    return null;        // a name that no ID can hold
+                }
+            }
+        }
+        return null;
+    }
+
+    /** True if who shows this identity may be the host of this name: for what it is sent, and for what it tells of jobs. */
+    public boolean is(SpiffeId id, String host) {
+        return id.equals(wanted(host));
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/access/IdPattern.java
@@ -0,0 +1,82 @@
+package olivechute.access;
+
+import java.util.List;
+import olivechute.config.BadValueException;
+import olivechute.identity.RefusedException;
+import olivechute.identity.SpiffeId;
+
+/**
+ * Which SPIFFE IDs a rule is about: one ID ({@code spiffe://td/a/b}), all workloads of a trust domain ({@code spiffe://td}), or a path
+ * pattern, in which {@code *} stands for one whole segment and {@code **}, at the end, for one or more. Trust domains hold no pattern: an
+ * ID of another domain is judged by another bundle, and a rule is to name whom it trusts.
+ */
+public final class IdPattern {
+    private static final String ONE = "*";
+    private static final String REST = "**";
+
+    private final String text;
+    private final String trustDomain;
+    private final List<String> segments;        // none: the whole trust domain
+
+    private IdPattern(String text, String trustDomain, List<String> segments) {
+        this.text = text;
+        this.trustDomain = trustDomain;
+        this.segments = segments;
+    }
+
+    /** Reads a pattern; {@code key} is blamed for one that is none. */
+    public static IdPattern parse(String key, String text) {
+        try {
+            // With a letter for each star the rest must be an ID by the standard's letters.
+            SpiffeId id = SpiffeId.parse(text.replace('*', 'x'));
+            List<String> segments = id.path().isEmpty() ? List.of()
+                : List.of(text.substring(text.indexOf('/', "spiffe://".length()) + 1).split("/"));
+            if (text.indexOf('*') >= 0 && text.indexOf('*') < "spiffe://".length() + id.trustDomain().length()) {
+                throw new BadValueException(key + ": a trust domain holds no pattern: '" + text + "'");
+            }
+            for (int i = 0; i < segments.size(); i++) {
+                String s = segments.get(i);
+                boolean star = s.indexOf('*') >= 0;
+                if (star && !s.equals(ONE) && !(s.equals(REST) && i == segments.size() - 1)) {
+                    throw new BadValueException(key + ": * stands for a whole segment and ** for the last ones: '" + text + "'");
+                }
+            }
+            return new IdPattern(text, id.trustDomain(), segments);
+        } catch (RefusedException e) {
+            throw new BadValueException(key + ": must be a SPIFFE ID or a pattern of some: " + e.getMessage());
+        }
+    }
+
+    /** True if the rule is about this ID. */
+    public boolean matches(SpiffeId id) {
+        if (!id.trustDomain().equals(trustDomain) || !id.workload()) {
+            return false;
+        }
+        if (segments.isEmpty()) {
+            return true;
+        }
+        String path = id.path();
+        int at = 1;
+        for (int i = 0; i < segments.size(); i++) {
+            String wanted = segments.get(i);
+            if (at > path.length()) {
+                return false;
+            }
+            if (wanted.equals(REST)) {
+                return true;
+            }
+            int slash = path.indexOf('/', at);
+            int end = slash < 0 ? path.length() : slash;
+            if (!wanted.equals(ONE) && !(wanted.length() == end - at && path.startsWith(wanted, at))) {
+                return false;
+            }
+            at = end + 1;
+        }
+        return at > path.length();
+    }
+
+    @Override
+    public String toString() {
+        return text;
+    }
+}
--- a/src/main/java/olivechute/log/LogForm.java
+++ b/src/main/java/olivechute/config/LogForm.java
@@ -1,8 +1,7 @@
-package olivechute.log;
+package olivechute.config;
 
 import java.util.Locale;
 import java.util.Map;
-import olivechute.config.BadValueException;
 
 /**
  * How the log is written: {@code OLIVECHUTE_LOG} is {@code text} or {@code json}, {@code OLIVECHUTE_LOG_LEVEL} one of the
--- a/src/test/java/olivechute/config/NodeConfigTest.java
+++ b/src/test/java/olivechute/config/NodeConfigTest.java
@@ -118,4 +118,12 @@
             assertTrue(seen.startsWith("LB_CONFIG: "), seen);
         }
     }
+
+    @Test
+    public void aWrongFormOrLevelNamesItsVariable() {
+        assertEquals(expectThrows(BadValueException.class, () -> LogForm.settle(Map.of(LogForm.FORM, "xml"))).getMessage(),
+            "OLIVECHUTE_LOG: must be text or json, not 'xml'");
+        assertTrue(expectThrows(BadValueException.class, () -> LogForm.settle(Map.of(LogForm.LEVEL, "loud"))).getMessage()
+            .startsWith("OLIVECHUTE_LOG_LEVEL: must be one of "));
+    }
 }
--- a/src/test/java/olivechute/log/JsonLinesWriterTest.java
+++ b/src/test/java/olivechute/log/JsonLinesWriterTest.java
@@ -2,13 +2,11 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
-import static org.testng.Assert.expectThrows;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.Map;
-import olivechute.config.BadValueException;
 import olivechute.config.Fields;
 import org.testng.annotations.Test;
 import org.tinylog.Level;
@@ -32,12 +30,4 @@
         assertEquals(line.text("stream") + line.text("host") + line.text("attempt") + line.text("outcome"), "t1s10RESET");
         assertTrue(line.text("error").contains("why"));
     }
-
-    @Test
-    public void aWrongFormOrLevelNamesItsVariable() {
-        assertEquals(expectThrows(BadValueException.class, () -> LogForm.settle(Map.of(LogForm.FORM, "xml"))).getMessage(),
-            "OLIVECHUTE_LOG: must be text or json, not 'xml'");
-        assertTrue(expectThrows(BadValueException.class, () -> LogForm.settle(Map.of(LogForm.LEVEL, "loud"))).getMessage()
-            .startsWith("OLIVECHUTE_LOG_LEVEL: must be one of "));
-    }
 }
