Keep the last good identity in force until it expires, whatever a source offers

Change: identity.SvidKeeper takes a document, its key and its domain's authorities together, if they hold at that moment, and leaves all as it was if they do not, with the reason. A key must be that of the document's leaf, which is tried by a signature; it never shows in a message. Bundles of federated domains are taken apart.

`serve` loads none of it.

--- /dev/null
+++ b/src/main/java/olivechute/identity/SvidKeeper.java
@@ -0,0 +1,106 @@
+package olivechute.identity;
+
+import java.security.GeneralSecurityException;
+import java.security.PrivateKey;
+import java.security.Signature;
+import java.security.cert.X509Certificate;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import olivechute.identity.RefusedException.Reason;
+
+/**
+ * Which identity and which bundles are in force, out of what a source offers from time to time. What does not hold changes nothing: the
+ * last that did stays until it expires, so that a helper which writes rubbish, or nothing any more, ends no service before its time. Does no
+ * I/O; offers come from one thread, questions from any.
+ */
+public final class SvidKeeper {
+    private final String trustDomain;
+    private volatile State state = new State(null, TrustBundles.EMPTY);
+
+    /** Both at one moment: an identity goes with the bundles that it came with. */
+    public record State(OwnIdentity own, TrustBundles bundles) {
+        /** True if there is an identity, and it holds at this moment. */
+        public boolean holds(Instant now) {
+            return own != null && !now.isAfter(own.svid().notAfter());
+        }
+    }
+
+    /** What became of an offer. */
+    public enum Taken {
+        /** In force from now on. */
+        NEW,
+        /** In force already. */
+        SAME
+    }
+
+    /** For the identity of a workload of this trust domain. */
+    public SvidKeeper(String trustDomain) throws RefusedException {
+        this.trustDomain = SpiffeId.trustDomain(trustDomain);
+    }
+
+    /** What is in force, whether it still holds or not. */
+    public State state() {
+        return state;
+    }
+
+    /**
+     * Takes a document, its key and the authorities of its trust domain, all as PEM, if they hold together at this moment; a
+     * {@link RefusedException} says why they do not, and leaves all as it was.
+     */
+    public Taken offer(String chain, String key, String authorities, Instant now) throws RefusedException {
+        State before = state;
+        TrustBundles bundles = before.bundles.with(new TrustBundle(trustDomain, PemReader.certificates(authorities), Map.of()));
+        List<X509Certificate> certificates = PemReader.certificates(chain);
+        X509Svid svid = X509Check.check(certificates, bundles, now);
+        if (!svid.id().trustDomain().equals(trustDomain)) {
+            throw new RefusedException(Reason.BAD_ID, svid.id() + " is not of trust domain " + trustDomain);
+        }
+        PrivateKey own = PemReader.key(key, certificates.get(0).getPublicKey().getAlgorithm());
+        belongs(own, certificates.get(0));
+        boolean same = before.own != null && before.own.svid().equals(svid) && before.own.key().equals(own)
+            && sameAuthorities(before.bundles, bundles);
+        if (same) {
+            return Taken.SAME;
+        }
+        state = new State(new OwnIdentity(svid, own), bundles);
+        return Taken.NEW;
+    }
+
+    /** Takes the authorities of a trust domain that ours is federated with. */
+    public Taken federate(String domain, String authorities) throws RefusedException {
+        TrustBundles bundles = state.bundles.with(new TrustBundle(SpiffeId.trustDomain(domain),
+            PemReader.certificates(authorities), Map.of()));
+        if (sameAuthorities(state.bundles, bundles)) {
+            return Taken.SAME;
+        }
+        state = new State(state.own, bundles);
+        return Taken.NEW;
+    }
+
+    private static boolean sameAuthorities(TrustBundles one, TrustBundles other) {
+        return java.util.Set.copyOf(one.all()).equals(java.util.Set.copyOf(other.all()));
+    }
+
+    /** Signs and verifies once: a key of another document would fail at each handshake. */
+    private static void belongs(PrivateKey key, X509Certificate leaf) throws RefusedException {
+        String algorithm = switch (key.getAlgorithm()) {
+            case "EC" -> "SHA256withECDSA";
+            case "RSA" -> "SHA256withRSA";
+            default -> key.getAlgorithm();
+        };
+        try {
+            Signature signature = Signature.getInstance(algorithm);
+            signature.initSign(key);
+            signature.update((byte) 1);
+            byte[] signed = signature.sign();
+            signature.initVerify(leaf.getPublicKey());
+            signature.update((byte) 1);
+            if (!signature.verify(signed)) {
+                throw new RefusedException(Reason.UNREADABLE, "the key is not that of the document");
+            }
+        } catch (GeneralSecurityException e) {
+            throw new RefusedException(Reason.UNREADABLE, "the key is not that of the document: " + e.getMessage());
+        }
+    }
+}
--- a/src/main/java/olivechute/issuer/Pem.java
+++ b/src/main/java/olivechute/issuer/Pem.java
@@ -22,20 +22,28 @@
     private Pem() { }
 
     static void write(Path file, List<X509Certificate> chain) throws IOException {
+        replace(file, text(chain));
+    }
+
+    static String text(List<X509Certificate> chain) throws IOException {
         StringBuilder text = new StringBuilder();
         try {
             for (X509Certificate each : chain) {
                 text.append(block("CERTIFICATE", each.getEncoded()));
             }
         } catch (CertificateEncodingException e) {
-            throw new IOException(file + ": " + e.getMessage(), e);
+            throw new IOException(e.getMessage(), e);
         }
-        replace(file, text.toString());
+        return text.toString();
+    }
+
+    static String text(PrivateKey key) {
+        return block("PRIVATE KEY", key.getEncoded());
     }
 
     /** A key in the form PKCS#8, which only its owner may read. */
     static void write(Path file, PrivateKey key) throws IOException {
-        replace(file, block("PRIVATE KEY", key.getEncoded()));
+        replace(file, text(key));
     }
 
     private static String block(String type, byte[] der) {
