Let a TLS machine hold small buffers until a record needs more

Cause: each machine held room for three whole records, 50 KB, from its start, and made new ones for each record that it handed out; a node that bears hundreds of connections in 192 MB has no such room.

Change: three buffers of 2 KiB that grow where a record asks for it and are small again once it is taken; the record that the platform insists on writing to is one for each thread.

--- a/src/main/java/olivechute/tls/TlsMachine.java
+++ b/src/main/java/olivechute/tls/TlsMachine.java
@@ -19,11 +19,16 @@
     /** Records of a handshake that a peer may send: more than any needs, fewer than would keep a core busy. */
     private static final int MOST_RECORDS = 64;
 
+    /** What a buffer holds at first: ordinary messages, and all of a handshake but certificates. */
+    private static final int SMALL = 2048;
+    /** The platform writes no record to less than a whole one's room: each thread has that once, not each connection. */
+    private static final ThreadLocal<ByteBuffer> RECORD = new ThreadLocal<>();
+
     private final SSLEngine engine;
     private final TlsContext context;
-    private ByteBuffer in;              // from the peer, to be written to
-    private ByteBuffer out;             // for the peer, to be written to
-    private ByteBuffer plain;           // from the peer, to be written to
+    private ByteBuffer in = ByteBuffer.allocate(SMALL);         // from the peer, to be written to
+    private ByteBuffer out = ByteBuffer.allocate(SMALL);        // for the peer, to be written to
+    private ByteBuffer plain = ByteBuffer.allocate(SMALL);      // from the peer, to be written to
     private boolean begun;
     private boolean spoken;
     private boolean closed;
@@ -33,10 +38,6 @@
     TlsMachine(SSLEngine engine, TlsContext context) {
         this.engine = engine;
         this.context = context;
-        int record = engine.getSession().getPacketBufferSize();
-        in = ByteBuffer.allocate(record);
-        out = ByteBuffer.allocate(record);
-        plain = ByteBuffer.allocate(engine.getSession().getApplicationBufferSize());
     }
 
     /** Where the peer's bytes are to be read to. */
@@ -70,6 +71,11 @@
                 }
             } finally {
                 in.compact();
+                if (in.position() == 0 && in.capacity() > SMALL) {
+                    in = ByteBuffer.allocate(SMALL);
+                } else if (!in.hasRemaining()) {
+                    in = larger(in, engine.getSession().getPacketBufferSize());     // the rest of a record is to come
+                }
             }
         } catch (SSLException e) {
             closed = true;
@@ -115,6 +121,10 @@
 
     private boolean unwrap() throws SSLException, TlsException {
         SSLEngineResult result = engine.unwrap(in, plain);
+        if (result.getStatus() == Status.BUFFER_OVERFLOW && plain.capacity() <= SMALL) {
+            plain = larger(plain, SMALL + engine.getSession().getApplicationBufferSize());
+            result = engine.unwrap(in, plain);
+        }
         if (result.getStatus() == Status.BUFFER_OVERFLOW || result.getStatus() == Status.BUFFER_UNDERFLOW) {
             return false;               // what is received must be taken, or more must come
         }
@@ -131,15 +141,32 @@
     }
 
     private boolean wrap(ByteBuffer from) throws SSLException, TlsException {
-        SSLEngineResult result = engine.wrap(from, out);
-        while (result.getStatus() == Status.BUFFER_OVERFLOW) {
-            out = ByteBuffer.allocate(out.position() + engine.getSession().getPacketBufferSize()).put(out.flip());
-            result = engine.wrap(from, out);
-        }
+        SSLEngineResult result = record(from);
         finished(result);
         return result.getStatus() == Status.OK && (result.bytesProduced() > 0 || result.bytesConsumed() > 0);
     }
 
+    /** Has the engine write one record, and adds it to what is to be sent. */
+    private SSLEngineResult record(ByteBuffer from) throws SSLException {
+        int most = engine.getSession().getPacketBufferSize();
+        ByteBuffer record = RECORD.get();
+        if (record == null || record.capacity() < most) {
+            record = ByteBuffer.allocate(most);
+            RECORD.set(record);
+        }
+        SSLEngineResult result = engine.wrap(from, record.clear());
+        record.flip();
+        if (out.remaining() < record.remaining()) {
+            out = larger(out, Math.max(2 * out.capacity(), out.position() + record.remaining()));
+        }
+        out.put(record);
+        return result;
+    }
+
+    private static ByteBuffer larger(ByteBuffer full, int capacity) {
+        return full.capacity() >= capacity ? full : ByteBuffer.allocate(capacity).put(full.flip());
+    }
+
     /** At the end of each handshake the peer's identity is judged, whether the platform asked for it or took it from a former session. */
     private void finished(SSLEngineResult result) throws TlsException, SSLException {
         if (result.getHandshakeStatus() != HandshakeStatus.FINISHED) {
@@ -160,7 +187,7 @@
     private void alert() {
         try {
             while (engine.getHandshakeStatus() == HandshakeStatus.NEED_WRAP
-                && engine.wrap(ByteBuffer.allocate(0), out).bytesProduced() > 0) {
+                && record(ByteBuffer.allocate(0)).bytesProduced() > 0) {
                 // an alert takes one record
             }
         } catch (SSLException e) {
@@ -193,7 +220,7 @@
     /** Hands out what is to be sent to the peer, which the driver must send or copy before it goes on. */
     public ByteBuffer toSend() {
         ByteBuffer ready = ByteBuffer.wrap(out.array(), 0, out.position());
-        out = out.position() == 0 ? out : ByteBuffer.allocate(engine.getSession().getPacketBufferSize());
+        out = out.position() == 0 ? out : ByteBuffer.allocate(SMALL);
         return ready;
     }
 
@@ -203,7 +230,7 @@
             return ByteBuffer.allocate(0);
         }
         ByteBuffer ready = plain.flip();
-        plain = ByteBuffer.allocate(ready.capacity());
+        plain = ByteBuffer.allocate(SMALL);
         return ready;
     }
 
