Serve clients and call hosts in TLS between SPIFFE identities, by settings of the operators

Need: identities were judged by modules that no connection asked. The operators want peers that are wrong or expired refused.

A client of another tenant gets 403, news count from the identity of the host only, a host that is somebody else could not be connected to. An identity that runs out or is withdrawn lets the job under way end and takes nothing new. A folder of PEM files is looked at by its stamps; what does not go together leaves the last good identity in force.

--- a/src/main/java/olivechute/Commands.java
+++ b/src/main/java/olivechute/Commands.java
@@ -39,6 +39,12 @@
         return 2;
     }
 
+    private static void name(Map<String, String> environment, String settings) {
+        if (settings != null) {
+            environment.put("OLIVECHUTE_SETTINGS", settings);
+        }
+    }
+
     @Command(name = "serve", mixinStandardHelpOptions = true, sortOptions = false,
         description = "Runs a node as LB_CONFIG, LB_NAME, LB_LISTEN and LB_DISCOVERY say, until SIGTERM.",
         footer = "Exit status: 1 a configuration that cannot be used, 2 wrong call, 143 after SIGTERM.")
@@ -50,6 +56,9 @@
             description = "How the log is written; before OLIVECHUTE_LOG, which says the same.")
         private String log;
 
+        @Option(names = "--settings", paramLabel = "FILE", description = "The operators' settings; before OLIVECHUTE_SETTINGS.")
+        private String settings;
+
         @Override
         public Integer call() throws InterruptedException {
             Map<String, String> environment = new HashMap<>(System.getenv());
@@ -61,6 +70,7 @@
             } catch (BadValueException e) {
                 throw new ParameterException(spec.commandLine(), e.getMessage());
             }
+            name(environment, settings);
             Main.serve(environment);
             Thread.currentThread().join();      // the node's threads go on until a signal
             return 0;
@@ -78,10 +88,14 @@
             + "LB_DISCOVERY override it here too.")
         private String file;
 
+        @Option(names = "--settings", paramLabel = "FILE", description = "The operators' settings; before OLIVECHUTE_SETTINGS.")
+        private String settings;
+
         @Override
         public Integer call() {
             Map<String, String> environment = new HashMap<>(System.getenv());
             environment.put("LB_CONFIG", file);
+            name(environment, settings);
             List<String> faults = NodeConfig.faults(environment);
             faults.forEach(spec.commandLine().getErr()::println);
             return faults.isEmpty() ? 0 : 1;
--- a/src/main/java/olivechute/Main.java
+++ b/src/main/java/olivechute/Main.java
@@ -37,7 +37,7 @@
             LogForm.settle(environment);
             // Without a handler of ours the virtual machine ends on SIGHUP; one that comes early waits for the node.
             CompletableFuture<Node> started = new CompletableFuture<>();
-            Signal.handle(new Signal("HUP"), signal -> reload(started.join()));
+            Signal.handle(new Signal("HUP"), signal -> reload(started.join(), environment));
             Node node = new Node(NodeConfig.load(environment));
             started.complete(node);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(node), "drain"));
@@ -51,9 +51,9 @@
     }
 
     /** A configuration that cannot be used changes nothing but the log. */
-    private static synchronized void reload(Node node) {
+    private static synchronized void reload(Node node, Map<String, String> environment) {
         try {
-            node.reload(NodeConfig.reload(System.getenv()));
+            node.reload(NodeConfig.reload(environment));
         } catch (BadValueException e) {
             Logger.error("configuration not changed: {}", e.getMessage());
         }
--- a/src/main/java/olivechute/Node.java
+++ b/src/main/java/olivechute/Node.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.util.function.Supplier;
 import olivechute.config.NodeConfig;
 import olivechute.core.Dispatcher;
 import olivechute.core.Event;
@@ -9,7 +11,10 @@
 import olivechute.decision.DispatchApi.RequestClass;
 import olivechute.discovery.ListWatch;
 import olivechute.downstream.HttpFront;
+import olivechute.downstream.Visitor;
 import olivechute.net.Writers;
+import olivechute.secure.Secured;
+import olivechute.upstream.Dialler;
 import olivechute.upstream.HostPools;
 import olivechute.upstream.PressureHeader;
 import org.tinylog.Logger;
@@ -17,6 +22,7 @@
 /** One real node: its parts, wired together. */
 final class Node {
     private static final long SWEEP = 100_000;
+    private static final long SECOND = 1_000_000;
     /** ms for which a node that ends serves its clients' connections: in a rolling restart theirs may be the only node up. */
     private static final long SERVES_ON = 2200;
     /** After SIGTERM a node has its longest deadline, at most 3 s of it, and 0.7 s; answers leave 0.2 s before. */
@@ -31,13 +37,23 @@
     private final ListWatch watch;
     private final HttpFront front;
     private final Dispatcher dispatcher;
+    private final Secured secured;              // null where identities are off
+    private final InetSocketAddress address;
+    private InetSocketAddress secure;
 
     Node(NodeConfig config) throws IOException {
+        this(config, Instant::now);
+    }
+
+    /** With a clock for identities that may step; all else runs on the loop's steady one. */
+    Node(NodeConfig config, Supplier<Instant> clock) throws IOException {
         started = config;
         int upstream = config.connections() / 4;
         downstream = config.connections() - upstream;
         Writers writers = new Writers(2 * config.connections());
-        pools = new HostPools(loop, writers, new PressureHeader(config.report()),
+        secured = config.identity() == null ? null : new Secured(config.identity(), clock);
+        Dialler dialler = secured != null && config.identity().upstream() ? secured.dialler() : Dialler.PLAIN;
+        pools = new HostPools(loop, writers, dialler, new PressureHeader(config.report()),
             config.settings().limits().connIdle(), config.dialTimeout(), upstream);
         watch = new ListWatch(loop, config.discovery(), config.known());
         dispatcher = new Dispatcher(loop, config.settings(), config.seed(), pools, watch,
@@ -45,11 +61,28 @@
         front = new HttpFront(loop, writers, config.settings(), config.report(), downstream);
         loop.every(SWEEP, pools::sweep);
         loop.every(SWEEP, front::sweep);
+        if (secured != null) {
+            loop.every(SECOND, secured::watch);
+        }
         loop.post(new Event.Task(() -> dispatcher.start(config.known())));
         loop.start(dispatcher);
         watch.start();
-        front.start(config.listen());
-        Logger.info("{} listens on {}", config.name(), front.address());
+        address = listen(config);
+        front.ready();
+        Logger.info("{} listens on {}", config.name(), address);
+    }
+
+    private InetSocketAddress listen(NodeConfig config) throws IOException {
+        if (secured == null) {
+            return front.listen(config.listen(), Visitor.Door.OPEN);
+        }
+        secured.start();
+        InetSocketAddress listen = config.identity().downstream().listen();
+        if (listen != null) {
+            secure = front.listen(listen, secured.door());
+            Logger.info("{} listens with identities on {}", config.name(), secure);
+        }
+        return front.listen(config.listen(), secured.platformDoor());
     }
 
     /** Half of the downstream connections stay free for news: without it no stream would end. */
@@ -62,6 +95,9 @@
         for (String key : config.fixedSince(started)) {
             Logger.warn("{}: changed, but cannot change while running; takes a restart", key);
         }
+        if (secured != null && config.identity() != null) {
+            secured.rules(config.identity().rules());
+        }
         int streams = streams(config.openStreams(), downstream);
         loop.post(new Event.Task(() -> {
             watch.move(config.discovery());
@@ -73,7 +109,12 @@
 
     /** Where it listens. */
     InetSocketAddress address() {
-        return front.address();
+        return address;
+    }
+
+    /** Where it listens in TLS beside that; null if it does not. */
+    InetSocketAddress secureAddress() {
+        return secure;
     }
 
     /** Streams that are owed an answer. */
--- a/src/main/java/olivechute/access/HostRules.java
+++ b/src/main/java/olivechute/access/HostRules.java
@@ -1,7 +1,6 @@
 package olivechute.access;
 
 import java.util.List;
-import olivechute.config.BadValueException;
 import olivechute.identity.RefusedException;
 import olivechute.identity.SpiffeId;
 
@@ -21,22 +20,33 @@
         /** Checks both; {@code key} is blamed. */
         public static Rule parse(String key, String host, String id) {
             if (host.isEmpty() || host.indexOf('*') >= 0 && host.indexOf('*') != host.length() - 1) {
-                throw new BadValueException(key + ".host: must be a name, or a beginning of some with a star after it");
+                throw new IllegalArgumentException(key + ".host: must be a name, or a beginning of some with a star after it");
             }
             try {
                 if (!SpiffeId.parse(id.replace(NAME, "h")).workload()) {
-                    throw new BadValueException(key + ".id: must name a workload: it has no path");
+                    throw new IllegalArgumentException(key + ".id: must name a workload: it has no path");
                 }
             } catch (RefusedException e) {
-                throw new BadValueException(key + ".id: must be a SPIFFE ID, in which {host} may stand: " + e.getMessage());
+                throw new IllegalArgumentException(key + ".id: must be a SPIFFE ID, in which {host} may stand: " + e.getMessage());
             }
             int slash = id.indexOf('/', "spiffe://".length());
             if (id.indexOf(NAME) >= 0 && id.indexOf(NAME) < slash) {
-                throw new BadValueException(key + ".id: a trust domain is not to hang on a host's name");
+                throw new IllegalArgumentException(key + ".id: a trust domain is not to hang on a host's name");
             }
             return new Rule(host, id);
         }
 
+        /** True if some name, put in its place, makes this ID. */
+        boolean fits(String shown) {
+            int at = id.indexOf(NAME);
+            if (at < 0) {
+                return id.equals(shown);
+            }
+            int after = id.length() - at - NAME.length();
+            String name = shown.length() <= at + after ? "" : shown.substring(at, shown.length() - after);
+            return !name.isEmpty() && name.indexOf('/') < 0 && about(name) && id.replace(NAME, name).equals(shown);
+        }
+
         boolean about(String name) {
             return host.endsWith(ANY) ? name.startsWith(host.substring(0, host.length() - 1)) : host.equals(name);
         }
@@ -61,6 +71,11 @@
         return null;
     }
 
+    /** True if who shows this identity may be the host of some name. */
+    public boolean host(SpiffeId id) {
+        return rules.stream().anyMatch(r -> r.fits(id.toString()));
+    }
+
     /** True if who shows this identity may be the host of this name: for what it is sent, and for what it tells of jobs. */
     public boolean is(SpiffeId id, String host) {
         return id.equals(wanted(host));
--- a/src/main/java/olivechute/access/IdPattern.java
+++ b/src/main/java/olivechute/access/IdPattern.java
@@ -1,7 +1,6 @@
 package olivechute.access;
 
 import java.util.List;
-import olivechute.config.BadValueException;
 import olivechute.identity.RefusedException;
 import olivechute.identity.SpiffeId;
 
@@ -32,18 +31,18 @@
             List<String> segments = id.path().isEmpty() ? List.of()
                 : List.of(text.substring(text.indexOf('/', "spiffe://".length()) + 1).split("/"));
             if (text.indexOf('*') >= 0 && text.indexOf('*') < "spiffe://".length() + id.trustDomain().length()) {
-                throw new BadValueException(key + ": a trust domain holds no pattern: '" + text + "'");
+                throw new IllegalArgumentException(key + ": a trust domain holds no pattern: '" + text + "'");
             }
             for (int i = 0; i < segments.size(); i++) {
                 String s = segments.get(i);
                 boolean star = s.indexOf('*') >= 0;
                 if (star && !s.equals(ONE) && !(s.equals(REST) && i == segments.size() - 1)) {
-                    throw new BadValueException(key + ": * stands for a whole segment and ** for the last ones: '" + text + "'");
+                    throw new IllegalArgumentException(key + ": * stands for a whole segment and ** for the last ones: '" + text + "'");
                 }
             }
             return new IdPattern(text, id.trustDomain(), segments);
         } catch (RefusedException e) {
-            throw new BadValueException(key + ": must be a SPIFFE ID or a pattern of some: " + e.getMessage());
+            throw new IllegalArgumentException(key + ": must be a SPIFFE ID or a pattern of some: " + e.getMessage());
         }
     }
 
--- a/src/main/java/olivechute/config/NodeConfig.java
+++ b/src/main/java/olivechute/config/NodeConfig.java
@@ -19,11 +19,12 @@
 
 /**
  * All that a node is told: the file named by {@code LB_CONFIG}, and {@code LB_NAME}, {@code LB_LISTEN} and
- * {@code LB_DISCOVERY}, which override it. Read, checked and given defaults here and nowhere else.
+ * {@code LB_DISCOVERY}, which override it; and, where {@code OLIVECHUTE_SETTINGS} names one, the operators' own file. Read, checked and
+ * given defaults here and nowhere else. {@code identity} is null where identities are off.
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
                          int connections, HostList known, Settings settings, ReportFields report, int openStreams,
-                         long dialTimeout) {
+                         long dialTimeout, IdentitySettings identity) {
     /** Descriptors kept for files, the listener and discovery. */
     private static final int RESERVED = 64;
     /** Memory that the process takes without connections, in KiB: measured 44 MB, and what the heap grows under load. */
@@ -65,10 +66,13 @@
         note(keys, "listen", listen, running.listen);
         note(keys, "limits", connections, running.connections);
         note(keys, "settings", List.of(settings, report), List.of(running.settings, running.report));
+        if (identity != running.identity) {
+            keys.addAll(IdentitySettings.fixed(identity, running.identity));
+        }
         return keys;
     }
 
-    private static void note(List<String> keys, String key, Object now, Object before) {
+    static void note(List<String> keys, String key, Object now, Object before) {
         if (!now.equals(before)) {
             keys.add(key);
         }
@@ -111,6 +115,11 @@
                 }
             });
         }
+        if (OperatorFile.named(environment)) {
+            List<String> own = new ArrayList<>();
+            OperatorFile.read(environment, own);
+            faults.addAll(own);
+        }
         // What only shows where parts meet, or stands above them.
         note(faults, () -> read(config, environment));
         return List.copyOf(faults);
@@ -140,7 +149,8 @@
             known(config),
             decode(settings), ReportFields.of(settings),
             within("ceilings.open_cap", ceilings.integerOr("open_cap", 4096), 1, Integer.MAX_VALUE),
-            within("ceilings.dial_timeout", ceilings.microsOr("dial_timeout", 250_000), 1000, 60_000_000));
+            within("ceilings.dial_timeout", ceilings.microsOr("dial_timeout", 250_000), 1000, 60_000_000),
+            OperatorFile.load(environment));
     }
 
     private static HostList known(Fields config) {
--- /dev/null
+++ b/src/main/java/olivechute/config/OperatorFile.java
@@ -0,0 +1,56 @@
+package olivechute.config;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The operators' own settings: a HOCON file that {@code OLIVECHUTE_SETTINGS} names. The platform's configuration comes first and needs
+ * none of it; without the variable nothing here is loaded, not even the library that reads it.
+ */
+final class OperatorFile {
+    /** The variable that names the file. */
+    static final String VARIABLE = "OLIVECHUTE_SETTINGS";
+    private static final int MOST = 256 * 1024;
+
+    private OperatorFile() { }
+
+    /** True if the environment names a file. */
+    static boolean named(Map<String, String> environment) {
+        return !environment.getOrDefault(VARIABLE, "").isEmpty();
+    }
+
+    /** Reads the file; null where identities are off. What is wrong goes to {@code faults}, a line for each. */
+    static IdentitySettings read(Map<String, String> environment, List<String> faults) {
+        String file = environment.get(VARIABLE);
+        try {
+            Path path = Path.of(file);
+            if (Files.size(path) > MOST) {
+                faults.add(VARIABLE + ": " + file + " is over " + MOST + " bytes");
+                return null;
+            }
+            Hocon root = Hocon.parse(Files.readString(path, StandardCharsets.UTF_8), faults);
+            IdentitySettings identity = IdentitySettings.read(root.node("identity"));
+            root.close();
+            return identity;
+        } catch (IOException | InvalidPathException e) {
+            faults.add(VARIABLE + ": cannot read " + file + ": " + e);
+            return null;
+        }
+    }
+
+    /** Reads the file where one is named; a {@link BadValueException} names the first faulty key. */
+    static IdentitySettings load(Map<String, String> environment) {
+        List<String> faults = new ArrayList<>();
+        IdentitySettings identity = named(environment) ? read(environment, faults) : null;
+        if (!faults.isEmpty()) {
+            throw new BadValueException(faults.get(0));
+        }
+        return identity;
+    }
+}
--- a/src/main/java/olivechute/downstream/DownstreamConnection.java
+++ b/src/main/java/olivechute/downstream/DownstreamConnection.java
@@ -23,6 +23,8 @@
 
     private final HttpFront front;
     private final Link link;
+    private final Visitor.Door door;
+    private Visitor visitor;            // its own thread's
     private final RequestParser parser = new RequestParser();
     private final Spares.Place<DownstreamConnection> place = new Spares.Place<>(this);
     private HttpStream stream;          // guarded by this, as the rest
@@ -38,9 +40,10 @@
     private long messageSince;
     private long since;                 // its last change of state
 
-    DownstreamConnection(HttpFront front, Link link) {
+    DownstreamConnection(HttpFront front, Link link, Visitor.Door door) {
         this.front = front;
         this.link = link;
+        this.door = door;
         this.acceptedAt = front.loop.now();
         this.since = acceptedAt;
         front.spares.put(place, Kind.UNUSED, acceptedAt);
@@ -84,13 +87,14 @@
         return !closed && stream == null && !writing && !(midway && front.loop.now() - messageSince < MESSAGE);
     }
 
-    /** True if bytes have come that its thread has not read: on a busy core a whole request may wait here. */
-    private boolean unread() {
-        try {
-            return link.socket().getInputStream().available() > 0;
-        } catch (IOException e) {
-            return false;
-        }
+    /** Who is on it; for its own thread. */
+    Visitor visitor() {
+        return visitor;
+    }
+
+    /** False once nothing new may be taken from who is on it. */
+    boolean holds() {
+        return link.holds();
     }
 
     synchronized boolean idle() {
@@ -100,6 +104,7 @@
     private void run() {
         try {
             link.ready();
+            visitor = door.visitor(link);
             for (int n = link.read(parser.room()); n >= 0; n = link.read(parser.room())) {
                 parser.filled(n);
                 take();
@@ -177,11 +182,11 @@
             midway = false;
             spare(Kind.REJECTED, since);
         }
-        if (!more && !unread()) {
+        if (!more && !link.unread()) {
             return;
         }
+        link.finish();
         Socket socket = link.socket();
-        socket.shutdownOutput();
         byte[] rest = new byte[16 * 1024];
         long end = front.loop.now() + LINGER;
         int n = 0;
@@ -241,6 +246,7 @@
         try {
             link.write(head, body);
             if (!keep) {
+                link.leave();
                 close();
                 return;
             }
@@ -273,7 +279,7 @@
      */
     boolean closeIfSpare() {
         synchronized (this) {
-            if (!carriesNothing() || !rejected && unread()) {
+            if (!carriesNothing() || !rejected && link.unread()) {
                 return false;
             }
             closed = true;
@@ -289,7 +295,7 @@
             stalled = midway && messageSince < messageBefore || writing && since < writeBefore
                 || !used && acceptedAt < messageBefore;
         }
-        if (stalled && (used() || !unread())) {
+        if (stalled && (used() || !link.unread())) {
             close();
         }
     }
--- a/src/main/java/olivechute/downstream/HttpFront.java
+++ b/src/main/java/olivechute/downstream/HttpFront.java
@@ -3,7 +3,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -16,7 +19,6 @@
 import olivechute.http.Body;
 import olivechute.http.HttpRequest;
 import olivechute.http.MessageWriter;
-import olivechute.net.Link;
 import olivechute.net.Threads;
 import olivechute.net.Writers;
 import org.tinylog.Logger;
@@ -36,7 +38,7 @@
     private final int most;
     private final NewsDecoder news;
     private final StreamDecoder streams;
-    private final ServerSocketChannel server = ServerSocketChannel.open();
+    private final List<ServerSocketChannel> servers = new ArrayList<>();
     final Spares<DownstreamConnection> spares = new Spares<>(DownstreamConnection.MESSAGE);
     private final Set<DownstreamConnection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicInteger open = new AtomicInteger();
@@ -45,8 +47,7 @@
     private volatile long lastTaken;
 
     /** {@code most} bounds the connections. */
-    public HttpFront(EventLoop loop, Writers writers, Settings settings, ReportFields report, int most)
-        throws IOException {
+    public HttpFront(EventLoop loop, Writers writers, Settings settings, ReportFields report, int most) {
         this.loop = loop;
         this.writers = writers;
         this.most = most;
@@ -54,16 +55,18 @@
         this.streams = new StreamDecoder(settings);
     }
 
-    /** Listens on this address only, and is ready from then on. */
-    public void start(InetSocketAddress address) throws IOException {
+    /** Listens on this address, behind this door; returns where, as the port may have been left open. */
+    public InetSocketAddress listen(InetSocketAddress address, Visitor.Door door) throws IOException {
+        ServerSocketChannel server = ServerSocketChannel.open();
         server.bind(address, BACKLOG);
-        ready = true;
-        Threads.start("accept", this::accept);
+        servers.add(server);
+        Threads.start("accept", () -> accept(server, door));
+        return (InetSocketAddress) server.socket().getLocalSocketAddress();
     }
 
-    /** Where it listens. */
-    public InetSocketAddress address() {
-        return (InetSocketAddress) server.socket().getLocalSocketAddress();
+    /** It listens wherever it is to: ready from now on. */
+    public void ready() {
+        ready = true;
     }
 
     /** The node will end: no longer ready, but it goes on serving on the connections that clients have. */
@@ -88,14 +91,14 @@
         return open.get();
     }
 
-    private void accept() {
+    private void accept(ServerSocketChannel server, Visitor.Door door) {
         for (;;) {
             try {
-                Link link = new Link(server.accept());
+                SocketChannel accepted = server.accept();
                 while (connections.size() >= most && !shed()) {
                     Thread.sleep(10);       // all carry streams or answers, and streams are bounded to half of them
                 }
-                DownstreamConnection connection = new DownstreamConnection(this, link);
+                DownstreamConnection connection = new DownstreamConnection(this, door.link(accepted), door);
                 connections.add(connection);
                 connection.start();
             } catch (InterruptedException e) {
@@ -134,7 +137,7 @@
         long now = loop.now();
         for (DownstreamConnection c : connections) {
             // While draining, one that is new may be about to send its first request.
-            if (now - c.since() > IDLE || draining && (c.used() || now - c.since() > FRESH)) {
+            if (now - c.since() > IDLE || !c.holds() || draining && (c.used() || now - c.since() > FRESH)) {
                 c.closeIfIdle();
             }
             c.closeIfStalled(now - STALLED, now - WRITE_LIMIT);
@@ -155,7 +158,7 @@
     }
 
     /** Opens the stream that a message asks for, or gives the reply to write at once. */
-    Reply route(HttpRequest message, DownstreamConnection connection) {
+    Reply route(HttpRequest message, DownstreamConnection connection) throws Ended {
         boolean keep = message.keepAlive() && keeps();
         try {
             switch (message.path()) {
@@ -164,22 +167,51 @@
                     return new Reply(MessageWriter.response(ready ? 200 : 503, new byte[0], keep), keep);
                 case "/_jobs/news":
                     LocalReply.require(message, "POST");
-                    loop.post(news.decode(message.content()));
-                    connection.broughtNews();
-                    return keep ? TAKEN : new Reply(MessageWriter.response(204, null, false), false);
+                    return told(news.decode(message.content()), connection, keep);
                 default:
                     return open(message, connection);
             }
         } catch (LocalReply e) {
             // A client that asks for what there is not keeps no connection: by the hundred they would fill the bound.
             return new Reply(text(e.status, e.getMessage(), false, "Allow", e.allow), false);
+        } catch (Ended e) {
+            throw e;
         } catch (BadValueException | IOException e) {
             return new Reply(text(400, "news: not understood", false), false);
         }
     }
 
+    /**
+     * Takes news from who may bring them. On a connection whose identity has run out they get no answer, so that their sender comes again
+     * with its new one; from anybody else they get one that says no.
+     */
+    private Reply told(Event.JobNews told, DownstreamConnection connection, boolean keep) throws LocalReply, Ended {
+        if (!connection.holds()) {
+            throw new Ended();
+        }
+        if (!connection.visitor().mayTellOf(told.host())) {
+            throw new LocalReply(403, "news: not of a host that this identity may be");
+        }
+        loop.post(told);
+        connection.broughtNews();
+        return keep ? TAKEN : new Reply(MessageWriter.response(204, null, false), false);
+    }
+
+    /** A message that is owed nothing came on a connection that is over. */
+    static final class Ended extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        Ended() {
+            super("its identity holds no more");
+        }
+    }
+
     private Reply open(HttpRequest message, DownstreamConnection connection) throws LocalReply {
         var request = streams.decode(message);
+        Visitor.Refusal refusal = connection.visitor().mayHandIn(message, request.tenant());
+        if (refusal != null) {
+            throw new LocalReply(refusal.status(), refusal.text());
+        }
         open.incrementAndGet();
         lastTaken = loop.now();
         HttpStream stream = new HttpStream(connection, request.id(), message.keepAlive(), open);
--- /dev/null
+++ b/src/main/java/olivechute/downstream/Visitor.java
@@ -0,0 +1,53 @@
+package olivechute.downstream;
+
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import olivechute.http.HttpRequest;
+import olivechute.net.Link;
+
+/** Who is on a downstream connection, and what that lets it do. */
+public interface Visitor {
+    /** Where nobody shows who it is, nobody is asked. */
+    Visitor ANYBODY = new Visitor() {
+        @Override
+        public Refusal mayHandIn(HttpRequest message, String tenant) {
+            return null;
+        }
+
+        @Override
+        public boolean mayTellOf(String host) {
+            return true;
+        }
+    };
+
+    /** A local reply in place of a stream. */
+    record Refusal(int status, String text) { }
+
+    /** Null if a job of this tenant may be handed in by this message; a tenant is null where none is named. */
+    Refusal mayHandIn(HttpRequest message, String tenant);
+
+    /** True if it may tell what becomes of jobs at the upstream host of this name. */
+    boolean mayTellOf(String host);
+
+    /** Lets connections in at one listener. */
+    interface Door {
+        /** Whoever comes, in plain TCP. */
+        Door OPEN = new Door() {
+            @Override
+            public Link link(SocketChannel accepted) {
+                return new Link(accepted);
+            }
+
+            @Override
+            public Visitor visitor(Link link) {
+                return ANYBODY;
+            }
+        };
+
+        /** What is spoken on an accepted connection. */
+        Link link(SocketChannel accepted);
+
+        /** Who that is, once the link is ready; an {@link IOException} says why nobody who may come in. */
+        Visitor visitor(Link link) throws IOException;
+    }
+}
--- a/src/main/java/olivechute/identity/PemReader.java
+++ b/src/main/java/olivechute/identity/PemReader.java
@@ -57,19 +57,54 @@
             throw new RefusedException(Reason.UNREADABLE, "no key in the form PKCS#8");
         }
         try {
-            byte[] der = Base64.getMimeDecoder().decode(text.substring(at + BEGIN_KEY.length(), end));
+            return derKey(Base64.getMimeDecoder().decode(text.substring(at + BEGIN_KEY.length(), end)), algorithm);
+        } catch (IllegalArgumentException e) {
+            throw new RefusedException(Reason.UNREADABLE, "no " + algorithm + " key in the form PKCS#8");
+        }
+    }
+
+    /** The key in these bytes, in the form PKCS#8 and for this algorithm. */
+    public static PrivateKey derKey(byte[] der, String algorithm) throws RefusedException {
+        try {
             return KeyFactory.getInstance(algorithm).generatePrivate(new PKCS8EncodedKeySpec(der));
-        } catch (GeneralSecurityException | IllegalArgumentException e) {
+        } catch (GeneralSecurityException e) {
             throw new RefusedException(Reason.UNREADABLE, "no " + algorithm + " key in the form PKCS#8");
         }
     }
 
+    /** Certificates that stand one after the other without more, one at least. */
+    public static List<X509Certificate> derCertificates(byte[] der) throws RefusedException {
+        if (der.length > MOST) {
+            throw new RefusedException(Reason.TOO_LARGE, "certificates of " + der.length + " bytes, " + MOST + " at most");
+        }
+        List<X509Certificate> found = new ArrayList<>();
+        ByteArrayInputStream in = new ByteArrayInputStream(der);
+        while (in.available() > 0) {
+            if (found.size() == MOST_CERTIFICATES) {
+                throw new RefusedException(Reason.TOO_LARGE, "over " + MOST_CERTIFICATES + " certificates");
+            }
+            found.add(certificate(in, found.size() + 1));
+        }
+        if (found.isEmpty()) {
+            throw new RefusedException(Reason.UNREADABLE, "no certificate in it");
+        }
+        return found;
+    }
+
     private static X509Certificate certificate(String base64, int number) throws RefusedException {
         try {
             byte[] der = Base64.getMimeDecoder().decode(base64.getBytes(StandardCharsets.ISO_8859_1));
-            Certificate read = CertificateFactory.getInstance("X.509").generateCertificate(new ByteArrayInputStream(der));
+            return certificate(new ByteArrayInputStream(der), number);
+        } catch (IllegalArgumentException e) {
+            throw new RefusedException(Reason.UNREADABLE, "certificate " + number + ": " + e.getMessage());
+        }
+    }
+
+    private static X509Certificate certificate(ByteArrayInputStream der, int number) throws RefusedException {
+        try {
+            Certificate read = CertificateFactory.getInstance("X.509").generateCertificate(der);
             return (X509Certificate) read;
-        } catch (CertificateException | IllegalArgumentException e) {
+        } catch (CertificateException e) {
             throw new RefusedException(Reason.UNREADABLE, "certificate " + number + ": " + e.getMessage());
         }
     }
--- a/src/main/java/olivechute/identity/SvidKeeper.java
+++ b/src/main/java/olivechute/identity/SvidKeeper.java
@@ -44,26 +44,37 @@
         return state;
     }
 
+    /** What a source offers: our document, its leaf first, the leaf's key, and all bundles to judge others by from then on. */
+    public record Offer(List<X509Certificate> chain, PrivateKey key, List<TrustBundle> bundles) { }
+
     /**
      * Takes a document, its key and the authorities of its trust domain, all as PEM, if they hold together at this moment; a
-     * {@link RefusedException} says why they do not, and leaves all as it was.
+     * {@link RefusedException} says why they do not, and leaves all as it was. What is held of other domains stays.
      */
     public Taken offer(String chain, String key, String authorities, Instant now) throws RefusedException {
-        State before = state;
-        TrustBundles bundles = before.bundles.with(new TrustBundle(trustDomain, PemReader.certificates(authorities), Map.of()));
         List<X509Certificate> certificates = PemReader.certificates(chain);
-        X509Svid svid = X509Check.check(certificates, bundles, now);
+        TrustBundles bundles = state.bundles.with(new TrustBundle(trustDomain, PemReader.certificates(authorities), Map.of()));
+        PrivateKey own = PemReader.key(key, certificates.get(0).getPublicKey().getAlgorithm());
+        return offer(new Offer(certificates, own, List.copyOf(bundles.all())), now);
+    }
+
+    /** Takes an offer as a whole, if it holds together at this moment; a {@link RefusedException} leaves all as it was. */
+    public Taken offer(Offer offer, Instant now) throws RefusedException {
+        State before = state;
+        TrustBundles bundles = TrustBundles.EMPTY;
+        for (TrustBundle each : offer.bundles) {
+            bundles = bundles.with(each);
+        }
+        X509Svid svid = X509Check.check(offer.chain, bundles, now);
         if (!svid.id().trustDomain().equals(trustDomain)) {
             throw new RefusedException(Reason.BAD_ID, svid.id() + " is not of trust domain " + trustDomain);
         }
-        PrivateKey own = PemReader.key(key, certificates.get(0).getPublicKey().getAlgorithm());
-        belongs(own, certificates.get(0));
-        boolean same = before.own != null && before.own.svid().equals(svid) && before.own.key().equals(own)
-            && sameAuthorities(before.bundles, bundles);
-        if (same) {
+        belongs(offer.key, offer.chain.get(0));
+        boolean sameOwn = before.own != null && before.own.svid().equals(svid) && before.own.key().equals(offer.key);
+        if (sameOwn && sameAuthorities(before.bundles, bundles)) {
             return Taken.SAME;
         }
-        state = new State(new OwnIdentity(svid, own), bundles);
+        state = new State(sameOwn ? before.own : new OwnIdentity(svid, offer.key), bundles);
         return Taken.NEW;
     }
 
--- a/src/main/java/olivechute/identity/TrustBundle.java
+++ b/src/main/java/olivechute/identity/TrustBundle.java
@@ -2,6 +2,8 @@
 
 import java.security.PublicKey;
 import java.security.cert.X509Certificate;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -11,4 +13,13 @@
         authorities = List.copyOf(authorities);
         keys = Map.copyOf(keys);
     }
+
+    /** What either vouches for; both are of one trust domain. */
+    public TrustBundle and(TrustBundle other) {
+        List<X509Certificate> all = new ArrayList<>(authorities);
+        all.addAll(other.authorities);
+        Map<String, PublicKey> allKeys = new HashMap<>(keys);
+        allKeys.putAll(other.keys);
+        return new TrustBundle(trustDomain, all, allKeys);
+    }
 }
--- a/src/main/java/olivechute/issuer/IssuerCommand.java
+++ b/src/main/java/olivechute/issuer/IssuerCommand.java
@@ -57,11 +57,13 @@
             Files.createDirectories(dir);
             Pem.write(dir.resolve("bundle.pem"), List.of(root.certificate()));
             for (SpiffeId id : ids) {
-                write(dir.resolve(id.path().substring(1).replace('/', '-')), between.issue(id, from, to));
+                new TrustFolder(dir.resolve(id.path().substring(1).replace('/', '-'))).svid(between.issue(id, from, to))
+                    .bundle(List.of(root.certificate()));
                 spec.commandLine().getOut().println(id);
             }
             if (forgery != null) {
-                write(dir.resolve("forged"), forgery.make(new Forgery.Ground(trustDomain, root, now)));
+                new TrustFolder(dir.resolve("forged")).svid(forgery.make(new Forgery.Ground(trustDomain, root, now)))
+                    .bundle(List.of(root.certificate()));
             }
             return 0;
         } catch (RefusedException e) {
@@ -71,12 +73,4 @@
             return 1;
         }
     }
-
-    private static void write(Path folder, Authority.Issued issued) throws IOException {
-        Files.createDirectories(folder);
-        Pem.write(folder.resolve("svid.pem"), issued.chain());
-        if (issued.key() != null) {
-            Pem.write(folder.resolve("svid_key.pem"), issued.key());
-        }
-    }
 }
--- a/src/main/java/olivechute/issuer/Pem.java
+++ b/src/main/java/olivechute/issuer/Pem.java
@@ -51,7 +51,7 @@
             + type + "-----\n";
     }
 
-    private static void replace(Path file, String text) throws IOException {
+    static void replace(Path file, String text) throws IOException {
         Path next = Files.createTempFile(file.toAbsolutePath().getParent(), file.getFileName().toString(), ".next",
             PosixFilePermissions.asFileAttribute(OWNER));
         Files.writeString(next, text);
--- a/src/main/java/olivechute/net/Link.java
+++ b/src/main/java/olivechute/net/Link.java
@@ -7,23 +7,18 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 
-/** A blocking connection: one thread reads while others may write, and a message of several parts is one call. */
-public final class Link {
+/** A blocking connection: one thread reads while others may write, and a message of several parts is one call. Plain, as it is here. */
+public class Link {
     /** Takes a whole message of any size allowed, so that writing waits only for a peer that does not read. */
     public static final int SEND_BUFFER = 128 * 1024;
 
     private final SocketChannel channel;
 
-    /** Takes an accepted connection. */
+    /** Takes an accepted connection, or one to be dialled. */
     public Link(SocketChannel channel) {
         this.channel = channel;
     }
 
-    /** Makes one to be dialled. */
-    public static Link unconnected() throws IOException {
-        return new Link(SocketChannel.open());
-    }
-
     /** Dials; fails after so long. */
     public void connect(InetSocketAddress address, int millis) throws IOException {
         channel.socket().connect(address, millis);
@@ -59,6 +54,30 @@
         }
     }
 
+    /** True if bytes have come that were not read yet. */
+    public boolean unread() {
+        try {
+            return socket().getInputStream().available() > 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** False once who is on the other side is no longer to be spoken with, but for what is under way. */
+    public boolean holds() {
+        return true;
+    }
+
+    /** Takes leave as the protocol asks, ahead of {@link #close}; may wait for a peer that does not read. */
+    public void leave() throws IOException {
+        // plain TCP has its end for that
+    }
+
+    /** Says that nothing more will be written. */
+    public void finish() throws IOException {
+        socket().shutdownOutput();
+    }
+
     /** The socket beneath, for what is done once: its end, its time-outs, what is unread. */
     public Socket socket() {
         return channel.socket();
--- /dev/null
+++ b/src/main/java/olivechute/secure/Identities.java
@@ -0,0 +1,105 @@
+package olivechute.secure;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.function.Supplier;
+import olivechute.identity.OwnIdentity;
+import olivechute.identity.RefusedException;
+import olivechute.identity.SvidKeeper;
+import olivechute.identity.SvidKeeper.Offer;
+import olivechute.identity.SvidKeeper.Taken;
+import olivechute.identity.TrustBundles;
+import olivechute.source.SvidSink;
+import olivechute.tls.TlsContext;
+import org.tinylog.Logger;
+
+/**
+ * The identity in force and the TLS context made of it. What a source brings takes effect for the next handshake, and connections that
+ * are open are judged again under it.
+ */
+final class Identities implements SvidSink {
+    private final SvidKeeper keeper;
+    private final boolean lenient;
+    private final Supplier<Instant> clock;
+    private volatile Own own;
+    private volatile String failure;            // said last, not to be said at each look
+    private Instant warned = Instant.MIN;       // the identity, by its end, whose end was told of; one thread's
+
+    /** Our identity and the context made of it. */
+    record Own(OwnIdentity identity, TlsContext context) { }
+
+    Identities(String trustDomain, boolean lenient, Supplier<Instant> clock) throws RefusedException {
+        this.keeper = new SvidKeeper(trustDomain);
+        this.lenient = lenient;
+        this.clock = clock;
+    }
+
+    Instant now() {
+        return clock.get();
+    }
+
+    SvidKeeper.State state() {
+        return keeper.state();
+    }
+
+    TrustBundles bundles() {
+        return keeper.state().bundles();
+    }
+
+    /** Ours, if it holds; without one there is no handshake. */
+    Own own() throws IOException {
+        Own held = own;
+        if (held == null) {
+            throw new IOException("no identity of our own yet");
+        }
+        if (clock.get().isAfter(held.identity.svid().notAfter())) {
+            throw new IOException("our own identity expired at " + held.identity.svid().notAfter());
+        }
+        return held;
+    }
+
+    @Override
+    public synchronized void offered(Offer offer) throws RefusedException {
+        Taken taken = keeper.offer(offer, clock.get());
+        failure = null;
+        if (taken == Taken.SAME) {
+            return;
+        }
+        OwnIdentity next = keeper.state().own();
+        if (own == null || own.identity != next) {
+            own = new Own(next, new TlsContext(next.svid().chain(), next.key(), lenient, this::bundles, clock));
+        }
+        Logger.info("identity {} until {}, with bundles of {}", next.svid().id(), next.svid().notAfter(),
+            bundles().all().stream().map(b -> b.trustDomain() + " (" + b.authorities().size() + ")").sorted().toList());
+    }
+
+    @Override
+    public void failed(String reason) {
+        if (!reason.equals(failure)) {
+            failure = reason;
+            Own held = own;
+            Logger.warn("identity not renewed, {}: {}", held == null ? "none is in force"
+                : "the last one is in force until " + held.identity.svid().notAfter(), reason);
+        }
+    }
+
+    /** Says in time that an identity runs out: once when a third of its life is left, once when it is over. For one thread. */
+    void watch() {
+        Own held = own;
+        if (held == null) {
+            return;
+        }
+        Instant end = held.identity.svid().notAfter();
+        Instant now = clock.get();
+        Instant from = held.identity.svid().chain().get(0).getNotBefore().toInstant();
+        Duration third = Duration.between(from, end).dividedBy(3);
+        if (now.isAfter(end) && !warned.equals(end.plusNanos(1))) {
+            warned = end.plusNanos(1);
+            Logger.error("our own identity expired at {}: no new connection until it is renewed", end);
+        } else if (!now.isAfter(end) && now.isAfter(end.minus(third)) && !warned.equals(end)) {
+            warned = end;
+            Logger.warn("our own identity expires at {} and is not renewed yet", end);
+        }
+    }
+}
--- a/src/main/java/olivechute/tls/TlsContext.java
+++ b/src/main/java/olivechute/tls/TlsContext.java
@@ -76,6 +76,11 @@
         return new TlsMachine(engine, this);
     }
 
+    /** For blocking sockets of the platform's, as stand-ins use them: a resumed session is not judged again there. */
+    public SSLContext sockets() {
+        return context;
+    }
+
     /** Full handshakes in which a peer's chain was judged, whatever came out: a resumed one has none. */
     public long judged() {
         return judged.get();
--- a/src/main/java/olivechute/tls/TlsMachine.java
+++ b/src/main/java/olivechute/tls/TlsMachine.java
@@ -217,6 +217,11 @@
         alert();
     }
 
+    /** True if something is to be sent. */
+    public boolean hasToSend() {
+        return out.position() > 0;
+    }
+
     /** Hands out what is to be sent to the peer, which the driver must send or copy before it goes on. */
     public ByteBuffer toSend() {
         ByteBuffer ready = ByteBuffer.wrap(out.array(), 0, out.position());
--- a/src/main/java/olivechute/upstream/HostPool.java
+++ b/src/main/java/olivechute/upstream/HostPool.java
@@ -10,6 +10,7 @@
 
 /** The connections to one upstream host. */
 final class HostPool {
+    final String name;
     volatile InetSocketAddress address;
     volatile String host;           // the address as a Host field has it
     private long startedAt;
@@ -17,7 +18,8 @@
     private final Set<UpstreamConnection> all = new HashSet<>();
     private final Deque<UpstreamConnection> idle = new ArrayDeque<>();  // the one used last comes first
 
-    HostPool(InetSocketAddress address, long startedAt) {
+    HostPool(String name, InetSocketAddress address, long startedAt) {
+        this.name = name;
         this.address = address;
         this.host = HostPools.host(address);
         this.startedAt = startedAt;
@@ -76,6 +78,15 @@
         carrying.forEach(c -> c.closeIfStuck(now));
     }
 
+    /** Closes the idle ones whose host is no longer to be spoken with on them. */
+    void closeLapsed() {
+        List<UpstreamConnection> lapsed = new ArrayList<>(0);
+        synchronized (this) {
+            idle.removeIf(c -> !c.holds() && lapsed.add(c));
+        }
+        lapsed.forEach(UpstreamConnection::close);
+    }
+
     /** Closes those idle since before a moment; 0 for all idle ones. */
     void closeIdle(long before) {
         List<UpstreamConnection> old = new ArrayList<>(0);
--- a/src/main/java/olivechute/upstream/HostPools.java
+++ b/src/main/java/olivechute/upstream/HostPools.java
@@ -1,5 +1,6 @@
 package olivechute.upstream;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,6 +16,7 @@
 import olivechute.decision.DispatchApi.Load;
 import olivechute.decision.DispatchApi.Outcome;
 import olivechute.decision.DispatchApi.State;
+import olivechute.net.Link;
 import olivechute.net.Writers;
 
 /** The connections to the upstream hosts: reused before new ones are dialled, bounded, closed before the host does. */
@@ -24,6 +26,7 @@
 
     private final EventLoop loop;
     private final Writers writers;
+    private final Dialler dialler;
     final PressureHeader pressure;
     private volatile int dialMillis;
     private final int most;
@@ -32,10 +35,11 @@
     private final Map<String, UpstreamConnection> carrying = new ConcurrentHashMap<>();
 
     /** {@code connIdle} is when hosts close idle connections and {@code most} bounds the connections, both told. */
-    public HostPools(EventLoop loop, Writers writers, PressureHeader pressure, long connIdle, long dialTimeout,
+    public HostPools(EventLoop loop, Writers writers, Dialler dialler, PressureHeader pressure, long connIdle, long dialTimeout,
                      int most) {
         this.loop = loop;
         this.writers = writers;
+        this.dialler = dialler;
         this.pressure = pressure;
         dialTimeout(dialTimeout);
         this.most = most;
@@ -61,7 +65,7 @@
             HostPool pool = pools.get(host.entry().worker());
             InetSocketAddress address = Address.parse("address", host.address());
             if (pool == null) {
-                pool = new HostPool(address, host.entry().startedAt());
+                pool = new HostPool(host.entry().worker(), address, host.entry().startedAt());
                 pools.put(host.entry().worker(), pool);
             } else if (pool.moved(address, host.entry().startedAt())) {
                 // It started anew: connections to the process before it may stay open and silent.
@@ -154,6 +158,9 @@
         for (HostPool pool : pools.values()) {
             pool.closeIdle(idleLimit == 0 ? 0 : now - idleLimit);
             pool.closeStuck(now);
+            if (dialler != Dialler.PLAIN) {
+                pool.closeLapsed();
+            }
         }
     }
 
@@ -161,6 +168,10 @@
         return loop.now();
     }
 
+    Link unconnected(HostPool pool) throws IOException {
+        return dialler.unconnected(pool.name);
+    }
+
     /** Has something written to a host that has read all before it; on the event loop. False if that cannot be. */
     boolean write(Runnable write) {
         if (loop.onOwnThread()) {
--- a/src/main/java/olivechute/upstream/UpstreamConnection.java
+++ b/src/main/java/olivechute/upstream/UpstreamConnection.java
@@ -45,8 +45,17 @@
         return idleSince;
     }
 
+    /** False once nothing new may be sent on it. */
+    boolean holds() {
+        return link.holds();
+    }
+
     /** Takes an exchange on an idle connection; false if it has ended meanwhile. */
     boolean begin(Exchange exchange) {
+        if (!link.holds()) {
+            close();
+            return false;
+        }
         pools.carries(exchange, this);      // first: the connection's end may come at any moment and take it back
         boolean ended;
         synchronized (this) {
@@ -109,7 +118,7 @@
 
     /** False if the connection was given up before it had a socket. */
     private boolean dial() throws IOException {
-        Link made = Link.unconnected();
+        Link made = pools.unconnected(pool);
         synchronized (this) {
             if (!closed) {
                 link = made;
--- a/src/test/java/olivechute/Client.java
+++ b/src/test/java/olivechute/Client.java
@@ -11,12 +11,19 @@
 
 /** One downstream connection as a test drives it. */
 final class Client implements AutoCloseable {
-    final Socket socket = new Socket();
+    final Socket socket;
     private final ResponseParser parser = new ResponseParser();
 
     Client(InetSocketAddress node) throws IOException {
+        this(node, new Socket());
+    }
+
+    /** On a socket that is not connected yet and may speak TLS. */
+    Client(InetSocketAddress node, Socket socket) throws IOException {
+        this.socket = socket;
         socket.connect(node, 1000);
         socket.setSoTimeout(8000);
+        socket.setTcpNoDelay(true);
     }
 
     static byte[] job(String kind, String id, int remainingMillis) {
--- a/src/test/java/olivechute/LayersTest.java
+++ b/src/test/java/olivechute/LayersTest.java
@@ -21,18 +21,20 @@
     }
 
     private static final List<String> ALL = List.of("decision", "core", "http", "net", "config", "log", "downstream", "upstream",
-        "discovery", "benchlink", "identity", "access", "tls", "issuer", "cost");
+        "discovery", "benchlink", "identity", "access", "tls", "secure", "source", "issuer", "cost");
 
     /** Each package, and those of ours that it may know. */
     @DataProvider
     public Object[][] layers() {
         return new Object[][] {
             {"decision", List.of()}, {"http", List.of()}, {"net", List.of()}, {"log", List.of()}, {"identity", List.of()},
-            {"core", List.of("decision", "log")}, {"config", List.of("core", "decision")}, {"tls", List.of("identity")},
-            {"access", List.of("identity", "config")}, {"issuer", List.of("identity")},
+            {"core", List.of("decision", "log")}, {"config", List.of("core", "decision", "identity", "access")}, {"tls", List.of("identity")},
+            {"access", List.of("identity")}, {"issuer", List.of("identity")},
             {"downstream", List.of("core", "decision", "http", "net", "config")},
             {"upstream", List.of("core", "decision", "http", "net", "config")},
             {"discovery", List.of("core", "http", "net", "config")}, {"benchlink", List.of("decision", "config")},
+            {"secure", List.of("core", "decision", "http", "net", "config", "downstream", "upstream", "identity", "access", "tls",
+                "source")}, {"source", List.of("net", "config", "identity")},
         };
     }
 
--- a/src/test/java/olivechute/Peer.java
+++ b/src/test/java/olivechute/Peer.java
@@ -33,13 +33,19 @@
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
     Peer(Answer answer) throws IOException {
+        this(answer, new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+    }
+
+    /** On a listener of its own, which may speak TLS. */
+    Peer(Answer answer, ServerSocket listener) {
         this.answer = answer;
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        server = listener;
         Threads.start("peer", () -> {
             try {
                 for (;;) {
                     Socket socket = server.accept();
                     connections.incrementAndGet();
+                    socket.setTcpNoDelay(true);
                     sockets.add(socket);
                     Threads.start("peer-connection", () -> serve(socket));
                 }
--- a/src/test/java/olivechute/access/AccessTest.java
+++ b/src/test/java/olivechute/access/AccessTest.java
@@ -13,7 +13,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
-import olivechute.config.BadValueException;
 import olivechute.identity.RefusedException;
 import olivechute.identity.SpiffeId;
 import org.junit.jupiter.api.Test;
@@ -48,7 +47,7 @@
     void whatIsNoPatternIsBlamedOnItsKey() {
         for (String text : new String[] {"", "td/a", "spiffe://*/a", "spiffe://t*/a", "spiffe://td/a*", "spiffe://td/**/a",
             "spiffe://td/***", "spiffe://td/a/", "spiffe://TD/a", "spiffe://td/../a"}) {
-            String told = assertThrows(BadValueException.class, () -> IdPattern.parse("clients.id", text)).getMessage();
+            String told = assertThrows(IllegalArgumentException.class, () -> IdPattern.parse("clients.id", text)).getMessage();
             assertTrue(told.startsWith("clients.id: "), told);
         }
     }
@@ -109,7 +108,7 @@
         String[][] bad = {{"", "spiffe://td/a", "hosts.host"}, {"s*1", "spiffe://td/a", "hosts.host"}, {"s", "spiffe://td", "hosts.id"},
             {"s", "spiffe://{host}/a", "hosts.id"}, {"s", "spiffe://td/{name}", "hosts.id"}, {"s", "a", "hosts.id"}};
         for (String[] rule : bad) {
-            String told = assertThrows(BadValueException.class, () -> HostRules.Rule.parse("hosts", rule[0], rule[1])).getMessage();
+            String told = assertThrows(IllegalArgumentException.class, () -> HostRules.Rule.parse("hosts", rule[0], rule[1])).getMessage();
             assertTrue(told.startsWith(rule[2] + ": "), told);
         }
     }
