--- a/src/main/java/olivechute/IdentityCommand.java
+++ b/src/main/java/olivechute/IdentityCommand.java
@@ -5,11 +5,15 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.KeyStore;
+import java.security.PrivateKey;
 import java.security.cert.X509Certificate;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import olivechute.config.Address;
+import olivechute.config.BadValueException;
 import olivechute.identity.PemReader;
 import olivechute.identity.RefusedException;
 import olivechute.identity.SpiffeId;
@@ -43,13 +47,18 @@
         @Spec
         private CommandSpec spec;
 
-        @Parameters(paramLabel = "FILE", description = "Certificates as PEM, the workload's first.")
-        private Path file;
+        @Parameters(paramLabel = "FILE|ADDRESS", description = "Certificates as PEM, the workload's first, or ADDRESS:PORT of somebody who "
+            + "shows some in TLS.")
+        private String from;
 
         @Option(names = "--bundle", paramLabel = "FILE", required = true,
             description = "The authorities of the document's trust domain, as PEM.")
         private Path bundle;
 
+        @Option(names = "--svid", paramLabel = "DIR",
+            description = "Who we are towards an address: the folder of svid.pem and svid_key.pem; nobody if left out.")
+        private Path svid;
+
         @Option(names = "--at", paramLabel = "TIME", description = "Judge it at this moment, as 2026-12-01T12:00:00Z; now if left out.")
         private Instant at;
 
@@ -57,7 +66,8 @@
         public Integer call() {
             PrintWriter out = spec.commandLine().getOut();
             try {
-                List<X509Certificate> chain = PemReader.certificates(text(file));
+                List<X509Certificate> chain = Files.exists(Path.of(from)) ? PemReader.certificates(text(Path.of(from)))
+                    : PeerLook.at(Address.parse("ADDRESS", from), own());
                 for (X509Certificate each : chain) {
                     out.println(each.getSubjectX500Principal() + ", " + each.getSigAlgName() + ", from "
                         + each.getNotBefore().toInstant() + " to " + each.getNotAfter().toInstant());
@@ -71,12 +81,23 @@
             } catch (RefusedException e) {
                 out.println("refused: " + e.getMessage());
                 return 1;
+            } catch (BadValueException e) {
+                throw new ParameterException(spec.commandLine(), from + ": no such file, and " + e.getMessage());
             } catch (IOException e) {
                 spec.commandLine().getErr().println("cannot read " + e.getMessage());
                 return 1;
             }
         }
 
+        private KeyStore.PrivateKeyEntry own() throws IOException, RefusedException {
+            if (svid == null) {
+                return null;
+            }
+            List<X509Certificate> chain = PemReader.certificates(text(svid.resolve("svid.pem")));
+            PrivateKey key = PemReader.key(text(svid.resolve("svid_key.pem")), chain.get(0).getPublicKey().getAlgorithm());
+            return new KeyStore.PrivateKeyEntry(key, chain.toArray(new X509Certificate[0]));
+        }
+
         private static String text(Path file) throws IOException {
             return new String(Files.readAllBytes(file), StandardCharsets.ISO_8859_1);
         }
--- a/src/main/java/olivechute/config/NodeConfig.java
+++ b/src/main/java/olivechute/config/NodeConfig.java
@@ -31,6 +31,9 @@
     private static final int BASE_KIB = 72 * 1024;
     /** What a connection adds, nearly all of it its thread's stack: measured 69 with the flags in deploy/, 110 without. */
     private static final int CONNECTION_KIB = 130;
+    /** The same with identities: TLS's classes, and for each connection its engine and session; measured 25 MB, and 94 to 125 KiB in all. */
+    private static final int SECURED_BASE_KIB = BASE_KIB + 25 * 1024;
+    private static final int SECURED_CONNECTION_KIB = 160;
     /** However little memory is told: with fewer a node cannot serve at all, and what is told may be more than it takes. */
     private static final int LEAST_CONNECTIONS = 48;
     /** Names in the messages of the module's checks, and the keys that they come from. */
@@ -105,7 +108,7 @@
         note(faults, () -> Address.parse("listen", text(config, environment, "listen", "LB_LISTEN")));
         note(faults, () -> Address.parse("discovery", text(config, environment, "discovery", "LB_DISCOVERY")));
         note(faults, () -> seed(config));
-        note(faults, () -> connections(config.node("limits")));
+        note(faults, () -> connections(config.node("limits"), false));
         note(faults, () -> known(config));
         if (config.has("settings")) {
             note(faults, () -> {
@@ -140,17 +143,17 @@
         }
         Fields settings = config.node("settings");
         Fields ceilings = settings.node("ceilings");
+        IdentitySettings identity = OperatorFile.load(environment);
         return new NodeConfig(
             text(config, environment, "name", "LB_NAME"),
             Address.parse("listen", text(config, environment, "listen", "LB_LISTEN")),
             Address.parse("discovery", text(config, environment, "discovery", "LB_DISCOVERY")),
             seed(config),
-            connections(limits),
+            connections(limits, identity != null),
             known(config),
             decode(settings), ReportFields.of(settings),
             within("ceilings.open_cap", ceilings.integerOr("open_cap", 4096), 1, Integer.MAX_VALUE),
-            within("ceilings.dial_timeout", ceilings.microsOr("dial_timeout", 250_000), 1000, 60_000_000),
-            OperatorFile.load(environment));
+            within("ceilings.dial_timeout", ceilings.microsOr("dial_timeout", 250_000), 1000, 60_000_000), identity);
     }
 
     private static HostList known(Fields config) {
@@ -158,10 +161,11 @@
     }
 
     /** As many as both limits bear; a memory limit too small for that is logged, and the node starts all the same. */
-    private static int connections(Fields limits) {
+    private static int connections(Fields limits, boolean secured) {
         int sockets = within("limits.sockets", limits.integerOr("sockets", 1024), RESERVED + 16, 1 << 20);
         int memory = within("limits.memory_mb", limits.integerOr("memory_mb", 192), 1, 1 << 20);
-        long bears = (memory * 1024L - BASE_KIB) / CONNECTION_KIB;
+        long bears = secured ? (memory * 1024L - SECURED_BASE_KIB) / SECURED_CONNECTION_KIB
+            : (memory * 1024L - BASE_KIB) / CONNECTION_KIB;
         if (bears < LEAST_CONNECTIONS) {
             Logger.warn("limits.memory_mb: {} bears few connections, {} are kept", memory, LEAST_CONNECTIONS);
         }
--- a/src/main/java/olivechute/cost/CostCommand.java
+++ b/src/main/java/olivechute/cost/CostCommand.java
@@ -32,7 +32,7 @@
     @Option(names = "--jar", paramLabel = "JAR", description = "Measure the node of this jar rather than of this one.")
     private Path jar;
 
-    @Option(names = "--against", paramLabel = "JAR", description = "With --timed: a former jar, run in turn.")
+    @Option(names = "--against", paramLabel = "JAR", description = "With --timed: a former jar, run in turn, in plain TCP.")
     private Path against;
 
     @Option(names = "--record", paramLabel = "FILE", description = "Write the counts to this file.")
@@ -64,6 +64,17 @@
         description = "CPU of N TLS handshakes, full and resumed, of both sides in one process, rather than counts.")
     private int handshakes;
 
+    @Option(names = "--tls", description = "In TLS under identities on both sides, at clients and at sign workers.")
+    private boolean tls;
+
+    @Option(names = "--dials", paramLabel = "N",
+        description = "CPU and delay of N connections each with one answer: plain, a full handshake, a resumed one.")
+    private int dials;
+
+    @Option(names = "--rotations", paramLabel = "N",
+        description = "Replaces all documents and their authority N times under load; fails where a job was lost or ran twice.")
+    private int rotations;
+
     @Option(names = "--core", paramLabel = "N", defaultValue = "1", description = "The core for --timed (${DEFAULT-VALUE}).")
     private int core;
 
@@ -79,11 +90,16 @@
         List<Scenario> scenarios = scenarios();
         PrintWriter out = spec.commandLine().getOut();
         try {
-            Path measured = jar == null ? NodeProcess.ownJar() : jar.toAbsolutePath();
+            Subject measured = new Subject(jar == null ? NodeProcess.ownJar() : jar.toAbsolutePath(), tls);
             if (timed) {
-                new Timing(out, core, requests, rounds).run(scenarios, measured, against);
+                Subject former = against == null ? null : new Subject(against, false);
+                new Timing(out, core, requests, rounds).run(scenarios, measured, former);
             } else if (calls) {
                 new CallTrace(out).run(scenarios, measured);
+            } else if (dials > 0) {
+                new Dials(out, core).run(measured.jar(), dials);
+            } else if (rotations > 0) {
+                return new Rotations(out).run(measured.jar(), rotations) ? 0 : 1;
             } else if (handshakes > 0) {
                 new Handshakes(out).run(handshakes);
             } else if (connections > 0) {
@@ -116,7 +132,7 @@
         }
     }
 
-    private int counts(PrintWriter out, List<Scenario> scenarios, Path measured) throws IOException, InterruptedException {
+    private int counts(PrintWriter out, List<Scenario> scenarios, Subject measured) throws IOException, InterruptedException {
         Record recorded = check == null ? null : Record.read(check);
         Map<Scenario, Counts> seen = new EnumMap<>(Scenario.class);
         List<String> grown = new ArrayList<>();
@@ -139,7 +155,7 @@
         return grown.isEmpty() ? 0 : 1;
     }
 
-    private void spread(PrintWriter out, List<Scenario> scenarios, Path measured) throws IOException, InterruptedException {
+    private void spread(PrintWriter out, List<Scenario> scenarios, Subject measured) throws IOException, InterruptedException {
         out.println(Table.heading());
         for (Scenario s : scenarios) {
             Counts least = Counting.count(measured, s);
--- a/src/main/java/olivechute/cost/Counting.java
+++ b/src/main/java/olivechute/cost/Counting.java
@@ -1,24 +1,23 @@
 package olivechute.cost;
 
 import java.io.IOException;
-import java.nio.file.Path;
 
 /** Counts what one request of a scenario costs the node of a jar. */
 final class Counting {
     private Counting() { }
 
-    static Counts count(Path jar, Scenario scenario) throws IOException, InterruptedException {
-        return Counts.of(scenario, run(jar, Mode.ALLOCATIONS, scenario), run(jar, Mode.COPIES, scenario));
+    static Counts count(Subject subject, Scenario scenario) throws IOException, InterruptedException {
+        return Counts.of(scenario, run(subject, Mode.ALLOCATIONS, scenario), run(subject, Mode.COPIES, scenario));
     }
 
     /** Bytes allocated a request where nothing is ever collected, to hold against the usual figure. */
-    static double neverCollected(Path jar, Scenario scenario) throws IOException, InterruptedException {
-        Rig.Run run = run(jar, Mode.EPSILON, scenario);
+    static double neverCollected(Subject subject, Scenario scenario) throws IOException, InterruptedException {
+        Rig.Run run = run(subject, Mode.EPSILON, scenario);
         return run.used().allocated() / (double) run.requests();
     }
 
-    private static Rig.Run run(Path jar, Mode mode, Scenario scenario) throws IOException, InterruptedException {
-        try (Rig rig = new Rig(jar, mode, -1, scenario)) {
+    private static Rig.Run run(Subject subject, Mode mode, Scenario scenario) throws IOException, InterruptedException {
+        try (Rig rig = new Rig(subject, mode, -1, scenario)) {
             rig.warmUp();
             Rig.Run run = rig.run(scenario.requests(), mode == Mode.ALLOCATIONS);
             if (mode == Mode.ALLOCATIONS && run.used().collections() > 0) {
--- a/src/main/java/olivechute/cost/Listener.java
+++ b/src/main/java/olivechute/cost/Listener.java
@@ -1,7 +1,6 @@
 package olivechute.cost;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -12,7 +11,7 @@
 
 /** A stand-in's listening socket on a loopback address of the system's choice, with a thread for each connection. */
 final class Listener implements AutoCloseable {
-    private final ServerSocket server = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
+    private final ServerSocket server;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final AtomicLong accepted = new AtomicLong();
 
@@ -21,7 +20,8 @@
         void serve(Wire wire) throws IOException, InterruptedException;
     }
 
-    Listener(String name, Service service) throws IOException {
+    Listener(String name, ServerSocket listener, Service service) {
+        server = listener;
         Threads.start(name, () -> {
             try {
                 for (;;) {
--- a/src/main/java/olivechute/cost/NodeProcess.java
+++ b/src/main/java/olivechute/cost/NodeProcess.java
@@ -38,8 +38,9 @@
     private final Path config;
     private final InetSocketAddress address;
 
-    /** Starts the node of {@code jar}; {@code core} pins it, negative leaves it free. */
-    NodeProcess(Path jar, Mode mode, int core, int sockets, String discovery, String known) throws IOException {
+    /** Starts the node of {@code jar}; {@code core} pins it, negative leaves it free; {@code settings} may be null. */
+    NodeProcess(Path jar, Mode mode, int core, int sockets, String discovery, String known, Path settings)
+        throws IOException {
         Path own = ownJar();
         config = Files.createTempFile("cost", ".json");
         Files.writeString(config, CONFIG.replace("DISCOVERY", discovery).replace("SOCKETS", String.valueOf(sockets))
@@ -58,6 +59,9 @@
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().putAll(Map.of("LB_CONFIG", config.toString(), "LB_NAME", "", "LB_LISTEN", "",
             "LB_DISCOVERY", ""));
+        if (settings != null) {
+            builder.environment().put("OLIVECHUTE_SETTINGS", settings.toString());
+        }
         process = builder.start();
         out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
         in = new PrintStream(process.getOutputStream(), true, StandardCharsets.US_ASCII);
--- a/src/main/java/olivechute/cost/Profile.java
+++ b/src/main/java/olivechute/cost/Profile.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -18,9 +17,9 @@
         this.out = out;
     }
 
-    void run(List<Scenario> scenarios, Path jar) throws IOException, InterruptedException {
+    void run(List<Scenario> scenarios, Subject subject) throws IOException, InterruptedException {
         for (Scenario s : scenarios) {
-            try (Rig rig = new Rig(jar, Mode.ALLOCATIONS, -1, s)) {
+            try (Rig rig = new Rig(subject, Mode.ALLOCATIONS, -1, s)) {
                 rig.warmUp();
                 Map<String, long[]> first = read(rig.node().classes());
                 Map<String, long[]> before = read(rig.node().classes());
--- a/src/main/java/olivechute/cost/Resident.java
+++ b/src/main/java/olivechute/cost/Resident.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -12,7 +10,6 @@
 final class Resident {
     /** Opened before the first look: what the first few load is no connection's. */
     private static final int FIRST = 50;
-    private static final byte[] READY = "GET /health/ready HTTP/1.1\r\nHost: n\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
     private final PrintWriter out;
 
@@ -21,9 +18,9 @@
     }
 
     /** Opens so many and prints what each takes, and how many the node still holds: it sheds what is over its bound. */
-    void run(Path jar, int connections) throws IOException {
+    void run(Subject subject, int connections) throws IOException {
         List<Wire> held = new ArrayList<>();
-        try (Rig rig = new Rig(jar, Mode.SERVICE, -1, Scenario.SILENT)) {
+        try (Rig rig = new Rig(subject, Mode.SERVICE, -1, Scenario.SILENT)) {
             open(rig, held, FIRST);
             long before = rig.node().resident();
             open(rig, held, connections);
@@ -41,8 +38,8 @@
 
     private static void open(Rig rig, List<Wire> held, int connections) throws IOException {
         for (int i = 0; i < connections; i++) {
-            Wire wire = Wire.connect(rig.node().address());
-            wire.write(READY);
+            Wire wire = rig.dial();
+            wire.write(Wire.READY);
             wire.read();
             held.add(wire);
         }
--- a/src/main/java/olivechute/cost/Rig.java
+++ b/src/main/java/olivechute/cost/Rig.java
@@ -1,7 +1,6 @@
 package olivechute.cost;
 
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -23,6 +22,7 @@
     private static final int WARM_UP = 200;
 
     private final Scenario scenario;
+    private final Connecting connecting;
     private final StandInHosts hosts;
     private final StandInDiscovery discovery;
     private final NodeProcess node;
@@ -33,20 +33,30 @@
     /** What a run of requests showed. */
     record Run(int requests, Usage used, long dialled, Histogram times, double outsideMicros) { }
 
-    Rig(Path jar, Mode mode, int core, Scenario scenario) throws IOException {
+    Rig(Subject subject, Mode mode, int core, Scenario scenario) throws IOException {
         this.scenario = scenario;
-        hosts = new StandInHosts(scenario.hosts(), scenario.turnsAway(), scenario.newsOnNew());
+        connecting = subject.connecting();
+        hosts = new StandInHosts(connecting, scenario.hosts(), scenario.turnsAway(), scenario.newsOnNew());
         discovery = new StandInDiscovery(hosts.entries());
-        node = new NodeProcess(jar, mode, core, scenario.sockets(), discovery.text(), hosts.entries());
+        node = new NodeProcess(subject.jar(), mode, core, scenario.sockets(), discovery.text(), hosts.entries(), connecting.settings());
         hosts.node(node.address());
         for (int i = 0; i < (scenario.connectionsOnly() ? 0 : scenario.clients()); i++) {
-            clients.add(new StandInClient(scenario, node.address()));
+            clients.add(new StandInClient(scenario, connecting, node.address()));
         }
         while (scenario == Scenario.SHED && held.size() < BOUND) {
-            held.add(Wire.connect(node.address()));
+            held.add(connecting.client(node.address()));
         }
     }
 
+    /** Another connection of a client's. */
+    Wire dial() throws IOException {
+        return connecting.client(node.address());
+    }
+
+    boolean secured() {
+        return connecting.settings() != null;
+    }
+
     NodeProcess node() {
         return node;
     }
@@ -61,7 +71,7 @@
         long dialled = hosts.dialled();
         long outside = hosts.outsideMicros();
         Histogram times = times();
-        drive(requests, times);
+        drive(requests, times, false);
         Usage used = node.usage(objects).since(before, before.minus(first));
         return new Run(requests, used, hosts.dialled() - dialled, times,
             (double) (hosts.outsideMicros() - outside) / requests);
@@ -70,23 +80,24 @@
     /** Before counting: every class is loaded, every buffer has its size. */
     void warmUp() throws IOException, InterruptedException {
         if (scenario.turnsAway() > 0) {
-            drive(clients.get(0), WARM_UP, times(), true);     // each host that turns away rests
+            drive(clients.get(0), WARM_UP, times(), true, false);     // each host that turns away rests
             drive(2);
         } else {
-            drive(scenario.requests() / 2);
+            drive(scenario.requests() / 2, times(), secured());
+            hosts.settled();
         }
     }
 
     /** Runs so many without looking. */
     void drive(int requests) throws IOException, InterruptedException {
-        drive(requests, times());
+        drive(requests, times(), false);
     }
 
     private static Histogram times() {
         return new ConcurrentHistogram(10_000_000, 3);
     }
 
-    private void drive(int requests, Histogram times) throws IOException, InterruptedException {
+    private void drive(int requests, Histogram times, boolean warming) throws IOException, InterruptedException {
         if (scenario.connectionsOnly()) {
             for (int i = 0; i < requests; i++) {
                 connect();
@@ -94,13 +105,13 @@
             return;
         }
         if (clients.size() == 1) {
-            drive(clients.get(0), requests, times, false);
+            drive(clients.get(0), requests, times, false, warming);
             return;
         }
         List<Future<Void>> ends = new ArrayList<>();
         for (StandInClient client : clients) {
             ends.add(threads.submit(() -> {
-                drive(client, requests / clients.size(), times, false);
+                drive(client, requests / clients.size(), times, false, warming);
                 return null;
             }));
         }
@@ -113,11 +124,11 @@
         }
     }
 
-    private void drive(StandInClient client, int requests, Histogram times, boolean plain)
+    private void drive(StandInClient client, int requests, Histogram times, boolean plain, boolean warming)
         throws IOException, InterruptedException {
         for (int i = 0; i < requests; i++) {
-            client.request(times, plain);
-            if (scenario.served()) {
+            client.request(times, plain, warming);
+            if (scenario.served() && !warming) {
                 hosts.awaitSettled();
             }
         }
@@ -125,7 +136,7 @@
 
     /** One connection, until the node has ended it or the one that it sheds for it. */
     private void connect() throws IOException {
-        Wire wire = Wire.connect(node.address());
+        Wire wire = dial();
         if (scenario == Scenario.SHED) {
             held.add(wire);
             wire = held.remove();
@@ -148,5 +159,6 @@
         }
         hosts.close();
         discovery.close();
+        connecting.close();
     }
 }
--- /dev/null
+++ b/src/main/java/olivechute/cost/Rotations.java
@@ -0,0 +1,130 @@
+package olivechute.cost;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import olivechute.net.Threads;
+import olivechute.tls.TlsContext;
+
+/**
+ * Load while every document and the authority behind them is replaced, again and again: a new authority beside the old, new documents by
+ * it, the old one withdrawn. Clients that find their connection ended between two requests send again once, as the protocol has it.
+ */
+final class Rotations {
+    private static final int CLIENTS = 16;
+    private static final int HOSTS = 24;
+    /** The node's folder is looked at every 50 ms, which is the time that a helper tool needs to leave between the steps. */
+    private static final long STEP_MILLIS = 250;
+
+    private final PrintWriter out;
+    private final AtomicBoolean over = new AtomicBoolean();
+    private final AtomicLong ids = new AtomicLong(0x2000_0000_0000L);
+    private final AtomicLong served = new AtomicLong();
+    private final AtomicLong refused = new AtomicLong();
+    private final AtomicLong resent = new AtomicLong();
+    private final AtomicLong lost = new AtomicLong();
+
+    Rotations(PrintWriter out) {
+        this.out = out;
+    }
+
+    /** Prints what became of all jobs; true if each was answered and none ran twice. */
+    boolean run(Path jar, int rotations) throws IOException, InterruptedException {
+        try (Trust trust = new Trust();
+             StandInHosts hosts = new StandInHosts(trust, HOSTS, 0, false);
+             StandInDiscovery discovery = new StandInDiscovery(hosts.entries());
+             NodeProcess node = new NodeProcess(jar, Mode.SERVICE, -1, 1024, discovery.text(), hosts.entries(), trust.settings())) {
+            hosts.node(node.address());
+            List<Thread> clients = new ArrayList<>();
+            for (int i = 0; i < CLIENTS; i++) {
+                clients.add(Threads.start("client", () -> load(trust, node)));
+            }
+            for (int i = 0; i < rotations; i++) {
+                Thread.sleep(STEP_MILLIS);
+                trust.overlap();
+                Thread.sleep(STEP_MILLIS);
+                trust.renew();
+                Thread.sleep(STEP_MILLIS);
+                trust.withdraw();
+            }
+            Thread.sleep(STEP_MILLIS);
+            over.set(true);
+            for (Thread client : clients) {
+                client.join();
+            }
+            long twice = hosts.runs() - hosts.jobs();
+            out.printf(Locale.ROOT, "%d rotations: %d served, %d refused, %d sent again on a new connection, %d lost, %d ran twice,"
+                + " %d dialled%n", rotations, served.get(), refused.get(), resent.get(), lost.get(), twice, hosts.dialled());
+            out.flush();
+            return lost.get() == 0 && twice == 0 && served.get() > 0;
+        }
+    }
+
+    private void load(Trust trust, NodeProcess node) {
+        Wire wire = null;
+        TlsContext under = null;
+        while (!over.get()) {
+            byte[] job = job();
+            for (int tries = 0;; tries++) {
+                try {
+                    if (wire == null || under != trust.client()) {
+                        close(wire);
+                        under = trust.client();
+                        wire = trust.client(node.address());
+                    }
+                    wire.write(job);
+                    Wire.Message answer = wire.read();
+                    if (answer == null) {
+                        throw new IOException("ended");
+                    }
+                    count(answer);
+                    break;
+                } catch (IOException e) {
+                    close(wire);
+                    wire = null;
+                    if (tries > 0) {
+                        lost("no answer on a new connection: " + e.getMessage());
+                        break;
+                    }
+                    resent.incrementAndGet();
+                }
+            }
+        }
+        close(wire);
+    }
+
+    private void count(Wire.Message answer) {
+        switch (answer.status()) {
+            case 200 -> served.incrementAndGet();
+            case 503 -> refused.incrementAndGet();
+            default -> lost("answered " + answer.status());
+        }
+    }
+
+    private synchronized void lost(String why) {
+        lost.incrementAndGet();
+        out.println("lost: " + why);
+    }
+
+    private static void close(Wire wire) {
+        try {
+            if (wire != null) {
+                wire.close();
+            }
+        } catch (IOException e) {
+            return;                     // it was of no more use
+        }
+    }
+
+    private byte[] job() {
+        String id = Long.toHexString(ids.incrementAndGet());
+        return ("POST /sign?user=7f3a9c21e0b4d655 HTTP/1.1\r\nHost: backend.local\r\nX-Txn: " + id + "\r\nX-Org: acme\r\n"
+            + "X-Remaining: 4800m\r\nIdempotency-Key: k" + id + "\r\nContent-Length: 4\r\n\r\nbody").getBytes(StandardCharsets.ISO_8859_1);
+    }
+}
--- a/src/main/java/olivechute/cost/StandInClient.java
+++ b/src/main/java/olivechute/cost/StandInClient.java
@@ -20,25 +20,25 @@
     private final Wire wire;
     private final byte[] body;
 
-    StandInClient(Scenario scenario, InetSocketAddress node) throws IOException {
+    StandInClient(Scenario scenario, Connecting connecting, InetSocketAddress node) throws IOException {
         this.scenario = scenario;
-        this.wire = Wire.connect(node);
+        this.wire = connecting.client(node);
         this.body = new byte[scenario.body()];
         Arrays.fill(body, (byte) 0xb5);         // the high bit tells body from head, see CopyCounter
     }
 
     /**
      * Sends one request and waits for its answer; its whole time goes into {@code times}, in microseconds. A
-     * {@code plain} one is never turned away.
+     * {@code plain} one is never turned away, and one for {@code warming} up may be refused: the first handshakes take long.
      */
-    void request(Histogram times, boolean plain) throws IOException {
+    void request(Histogram times, boolean plain, boolean warming) throws IOException {
         byte[] head = head(plain || scenario.turnsAway() == 0 ? "user=7f3a9c21e0b4d655" : StandInHosts.MARKED);
         long begun = System.nanoTime();
         send(head);
         Wire.Message answer = wire.read();
         times.recordValue((System.nanoTime() - begun) / 1000);
         int wanted = scenario == Scenario.REFUSED ? 503 : 200;
-        if (answer == null || answer.status() != wanted) {
+        if (answer == null || answer.status() != wanted && !warming) {
             throw new IOException(scenario.key() + ": answered " + (answer == null ? "nothing" : answer.head()));
         }
     }
--- a/src/main/java/olivechute/cost/StandInDiscovery.java
+++ b/src/main/java/olivechute/cost/StandInDiscovery.java
@@ -13,7 +13,7 @@
         String list = "{\"index\":1,\"snapshot\":true,\"endpoints\":[" + entries + "]}";
         byte[] answer = ("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
             .getBytes(StandardCharsets.ISO_8859_1);
-        listener = new Listener("stand-in-discovery", wire -> {
+        listener = new Listener("stand-in-discovery", Connecting.PLAIN.listener(), wire -> {
             for (Wire.Message m = wire.read(); m != null; m = wire.read()) {
                 if (m.head().contains("since=")) {
                     end.await();
--- a/src/main/java/olivechute/cost/Timing.java
+++ b/src/main/java/olivechute/cost/Timing.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -23,27 +22,27 @@
     }
 
     /** Prints a line for each scenario, jar and round: timings spread, so no round is left out. */
-    void run(List<Scenario> scenarios, Path jar, Path against) throws IOException, InterruptedException {
+    void run(List<Scenario> scenarios, Subject subject, Subject against) throws IOException, InterruptedException {
         out.printf("%-12s %-24s %8s %8s %9s %9s %9s%n", "scenario", "jar", "cpu us", "waits", "p50 us", "p99 us",
             "p99.9 us");
         for (Scenario s : scenarios) {
             for (int round = 0; round < rounds; round++) {
-                List<Path> jars = new ArrayList<>(against == null ? List.of(jar) : List.of(against, jar));
-                for (Path each : jars) {
+                List<Subject> subjects = new ArrayList<>(against == null ? List.of(subject) : List.of(against, subject));
+                for (Subject each : subjects) {
                     once(s, each);
                 }
             }
         }
     }
 
-    private void once(Scenario scenario, Path jar) throws IOException, InterruptedException {
+    private void once(Scenario scenario, Subject subject) throws IOException, InterruptedException {
         int n = scenario.turnsAway() > 0 ? scenario.requests() : requests * scenario.requests() / 400;
-        try (Rig rig = new Rig(jar, Mode.SERVICE, core, scenario)) {
+        try (Rig rig = new Rig(subject, Mode.SERVICE, core, scenario)) {
             rig.warmUp();
             rig.drive(n);
             Rig.Run run = rig.run(n, false);
             Histogram t = run.times();
-            out.printf(Locale.ROOT, "%-12s %-24s %8.1f %8.2f %9.0f %9.0f %9.0f%n", scenario.key(), jar.getFileName(),
+            out.printf(Locale.ROOT, "%-12s %-24s %8.1f %8.2f %9.0f %9.0f %9.0f%n", scenario.key(), subject.jar().getFileName() + (subject.tls() ? " tls" : ""),
                 run.used().cpu() / (double) n, run.used().waits() / (double) n,
                 Math.max(0, t.getValueAtPercentile(50) - run.outsideMicros()),
                 Math.max(0, t.getValueAtPercentile(99) - run.outsideMicros()),
--- /dev/null
+++ b/src/main/java/olivechute/cost/Trust.java
@@ -0,0 +1,155 @@
+package olivechute.cost;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.cert.X509Certificate;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import javax.net.ssl.SSLSocket;
+import olivechute.identity.RefusedException;
+import olivechute.identity.SpiffeId;
+import olivechute.identity.TrustBundle;
+import olivechute.identity.TrustBundles;
+import olivechute.issuer.Authority;
+import olivechute.issuer.TrustFolder;
+import olivechute.tls.TlsContext;
+
+/** A trust domain for a node and its stand-ins, which speak TLS by the platform's own sockets; its authority can be replaced. */
+final class Trust implements Connecting {
+    static final String DOMAIN = "cost.example";
+    private static final Duration HOUR = Duration.ofHours(1);
+    private static final String SETTINGS = """
+        identity {
+          enabled = true, trust_domain = "cost.example", upstream = true
+          source { folder = "FOLDER", poll = 50ms }
+          downstream { mode = only }
+          clients = [ { id = "spiffe://cost.example/client", tenants = ["*"] } ]
+          hosts = [ { host = "w*", id = "spiffe://cost.example/sign-worker" } ]
+        }
+        """;
+
+    private final Path dir = Files.createTempDirectory("cost-trust");
+    private final TrustFolder node = new TrustFolder(dir.resolve("node"));
+    private final Path settings = dir.resolve("olivechute.conf");
+    private Authority root;
+    private volatile TrustBundles bundles;
+    private volatile TlsContext client;
+    private volatile TlsContext host;
+
+    Trust() throws IOException {
+        Files.writeString(settings, SETTINGS.replace("FOLDER", dir.resolve("node").toString()));
+        root = authority();
+        trust(List.of(root.certificate()));
+        renew();
+    }
+
+    private static Authority authority() {
+        Instant now = Instant.now();
+        return Authority.root(DOMAIN, now.minusSeconds(60), now.plus(HOUR));
+    }
+
+    /** Has another authority vouch beside the one that does. */
+    Authority overlap() throws IOException {
+        Authority before = root;
+        root = authority();
+        trust(List.of(before.certificate(), root.certificate()));
+        return before;
+    }
+
+    /** Has only the latest one vouch. */
+    void withdraw() throws IOException {
+        trust(List.of(root.certificate()));
+    }
+
+    private void trust(List<X509Certificate> authorities) throws IOException {
+        node.bundle(authorities);
+        bundles = TrustBundles.EMPTY.with(new TrustBundle(DOMAIN, authorities, Map.of()));
+    }
+
+    /** New documents for all, by the latest authority. */
+    void renew() throws IOException {
+        node.svid(issue("/node"));
+        client = context("/client");
+        host = context("/sign-worker");
+    }
+
+    private Authority.Issued issue(String path) throws IOException {
+        try {
+            Instant now = Instant.now();
+            return root.issue(SpiffeId.parse("spiffe://" + DOMAIN + path), now.minusSeconds(60), now.plus(HOUR));
+        } catch (RefusedException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    private TlsContext context(String path) throws IOException {
+        Authority.Issued own = issue(path);
+        return new TlsContext(own.chain(), own.key(), false, () -> bundles, Instant::now);
+    }
+
+    /** The document that clients have now, to tell whether it was renewed. */
+    TlsContext client() {
+        return client;
+    }
+
+    private static Wire connect(TlsContext identity, InetSocketAddress node) throws IOException {
+        Socket socket = identity.sockets().getSocketFactory().createSocket();
+        socket.connect(node, Wire.SILENCE_MILLIS);
+        return new Wire(socket);
+    }
+
+    /** Its first message comes at once: a connection that says nothing for 2 s is let go, its handshake included. */
+    @Override
+    public Wire client(InetSocketAddress at) throws IOException {
+        Wire wire = connect(client, at);
+        wire.write(Wire.READY);
+        if (wire.read() == null) {
+            throw new IOException("no answer on a new connection");
+        }
+        return wire;
+    }
+
+    @Override
+    public Wire host(InetSocketAddress at) throws IOException {
+        return connect(host, at);
+    }
+
+    /** Each connection is accepted under the document of its moment. */
+    @Override
+    public ServerSocket listener() throws IOException {
+        return new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress()) {
+            @Override
+            public Socket accept() throws IOException {
+                Socket plain = super.accept();
+                plain.setTcpNoDelay(true);
+                SSLSocket secured = (SSLSocket) host.sockets().getSocketFactory().createSocket(plain, null, true);
+                secured.setUseClientMode(false);
+                secured.setNeedClientAuth(true);
+                return secured;
+            }
+        };
+    }
+
+    @Override
+    public Path settings() {
+        return settings;
+    }
+
+    @Override
+    public void close() throws IOException {
+        try (Stream<Path> files = Files.walk(dir)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+}
--- a/src/main/java/olivechute/cost/Wire.java
+++ b/src/main/java/olivechute/cost/Wire.java
@@ -10,7 +10,10 @@
 
 /** One HTTP/1.1 connection as a stand-in drives it: blocking, one message at a time, with a length or without a body. */
 final class Wire implements AutoCloseable {
-    private static final int SILENCE_MILLIS = 20_000;
+    /** Asks a node whether it is ready. */
+    static final byte[] READY = "GET /health/ready HTTP/1.1\r\nHost: n\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+
+    static final int SILENCE_MILLIS = 20_000;
 
     private final Socket socket;
     private final InputStream in;
@@ -80,6 +83,10 @@
         return new Message(head, body);
     }
 
+    Socket socket() {
+        return socket;
+    }
+
     /** Says that no more will come. */
     void finish() throws IOException {
         socket.shutdownOutput();
@@ -89,7 +96,7 @@
     boolean ended() throws IOException {
         try {
             return in.read() < 0;
-        } catch (java.net.SocketException reset) {
+        } catch (java.net.SocketException | javax.net.ssl.SSLException reset) {
             return true;
         }
     }
--- /dev/null
+++ b/src/main/java/olivechute/grpc/Http2Frame.java
@@ -0,0 +1,26 @@
+package olivechute.grpc;
+
+/** The few frames that are understood, by the numbers of RFC 9113, section 6. */
+final class Http2Frame {
+    static final int DATA = 0;
+    static final int HEADERS = 1;
+    static final int RST_STREAM = 3;
+    static final int SETTINGS = 4;
+    static final int PUSH_PROMISE = 5;
+    static final int PING = 6;
+    static final int GOAWAY = 7;
+    static final int WINDOW_UPDATE = 8;
+    static final int CONTINUATION = 9;
+
+    static final int END_STREAM = 1;        // flags
+    static final int ACK = 1;
+    static final int END_HEADERS = 4;
+    static final int PADDED = 8;
+    static final int PRIORITY = 32;
+
+    static final int INITIAL_WINDOW = 4;    // of the settings
+    static final int HEAD = 9;              // bytes ahead of a payload
+    static final int MOST = 16_384;         // bytes of payload that either side may send without more being agreed
+
+    private Http2Frame() { }
+}
--- a/src/main/java/olivechute/identity/RefusedException.java
+++ b/src/main/java/olivechute/identity/RefusedException.java
@@ -36,7 +36,8 @@
 
     private final Reason reason;
 
-    RefusedException(Reason reason, String text) {
+    /** {@code text} goes to a log: it may say what was wrong, and nothing of a key. */
+    public RefusedException(Reason reason, String text) {
         super(reason.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-') + ": " + text, null, false, false);
         this.reason = reason;
     }
--- a/src/main/java/olivechute/issuer/IssuerCommand.java
+++ b/src/main/java/olivechute/issuer/IssuerCommand.java
@@ -7,9 +7,11 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import olivechute.identity.RefusedException;
 import olivechute.identity.SpiffeId;
+import olivechute.source.WorkloadMessages;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -18,7 +20,7 @@
 
 /** {@code issuer}: a development trust domain in a folder: its bundle, and for each workload a document with its key. */
 @Command(name = "issuer", mixinStandardHelpOptions = true, sortOptions = false,
-    description = "Writes a trust domain for development: a root, an intermediate, and a document for each ID.",
+    description = "Writes a trust domain for development: a root, an intermediate, a document for each ID, and a node's settings.",
     footer = {"Each ID's folder is named by its path, with dashes for slashes. The root's key is not kept: another call makes "
         + "another domain of the same name.", "Exit status: 0 written, 1 not written, 2 wrong call."})
 public final class IssuerCommand implements Callable<Integer> {
@@ -42,8 +44,15 @@
         description = "Beside these a document that must be refused, in the folder forged: ${COMPLETION-CANDIDATES}.")
     private Forgery forgery;
 
+    @Option(names = "--serve", paramLabel = "unix:PATH|tcp://ADDRESS:PORT", description = "Beside this be the agent of the first ID: serve "
+        + "the Workload API there until the end, and renew at half of the time that documents hold.")
+    private String serve;
+
+    @Option(names = "--life", paramLabel = "SECONDS", description = "With --serve: how long documents hold, in place of --hours.")
+    private int life;
+
     @Override
-    public Integer call() {
+    public Integer call() throws InterruptedException {
         try {
             Instant now = Instant.now();
             Instant from = now.minusSeconds(60);
@@ -57,7 +66,7 @@
             Files.createDirectories(dir);
             Pem.write(dir.resolve("bundle.pem"), List.of(root.certificate()));
             for (SpiffeId id : ids) {
-                new TrustFolder(dir.resolve(id.path().substring(1).replace('/', '-'))).svid(between.issue(id, from, to))
+                new TrustFolder(folder(id)).svid(between.issue(id, from, to))
                     .bundle(List.of(root.certificate()));
                 spec.commandLine().getOut().println(id);
             }
@@ -65,6 +74,12 @@
                 new TrustFolder(dir.resolve("forged")).svid(forgery.make(new Forgery.Ground(trustDomain, root, now)))
                     .bundle(List.of(root.certificate()));
             }
+            Path settings = dir.resolve("olivechute.conf");
+            Files.writeString(settings, settings(ids.get(0)));
+            spec.commandLine().getOut().println("settings of a node: " + settings);
+            if (serve != null) {
+                serve(ids.get(0), between, root);
+            }
             return 0;
         } catch (RefusedException e) {
             throw new ParameterException(spec.commandLine(), "--trust-domain, --path: " + e.getMessage());
@@ -73,4 +88,42 @@
             return 1;
         }
     }
+
+    /** A node that speaks TLS beside its plain address, where any workload of the domain is a client of any tenant. */
+    private String settings(SpiffeId node) {
+        return """
+            # Written by the issuer, for development. deploy/olivechute.conf tells of each key.
+            identity {
+              enabled = true
+              trust_domain = "DOMAIN"
+              source { folder = "FOLDER" }
+              downstream { mode = beside, listen = "127.0.0.1:7443" }
+              clients = [ { id = "spiffe://DOMAIN", tenants = ["*"] } ]
+              hosts = [ { host = "*", id = "spiffe://DOMAIN/sign-worker" } ]
+            }
+            """.replace("DOMAIN", trustDomain).replace("FOLDER", folder(node).toAbsolutePath().toString().replace("\\", "\\\\"));
+    }
+
+    private Path folder(SpiffeId id) {
+        return dir.resolve(id.path().substring(1).replace('/', '-'));
+    }
+
+    private void serve(SpiffeId id, Authority between, Authority root) throws IOException, InterruptedException {
+        Duration holds = life > 0 ? Duration.ofSeconds(life) : Duration.ofHours(hours);
+        boolean unix = serve.startsWith("unix:");
+        if (!unix && !serve.matches("tcp://127[0-9.]*:[0-9]{1,5}")) {
+            throw new ParameterException(spec.commandLine(), "--serve: must be unix:PATH or tcp://ADDRESS:PORT of loopback");
+        }
+        try (WorkloadAgent agent = unix ? new WorkloadAgent(Path.of(serve.substring("unix:".length())))
+            : new WorkloadAgent(Integer.parseInt(serve.substring(serve.lastIndexOf(':') + 1)))) {
+            spec.commandLine().getOut().println("serves " + id + " at " + agent.address());
+            spec.commandLine().getOut().flush();
+            for (;;) {
+                Instant now = Instant.now();
+                agent.publish(WorkloadMessages.FETCH_X509, WorkloadResponses.x509(id.toString(),
+                    between.issue(id, now.minusSeconds(60), now.plus(holds)), List.of(root.certificate()), Map.of(), ""));
+                Thread.sleep(holds.toMillis() / 2);
+            }
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/olivechute/issuer/WorkloadAgent.java
@@ -0,0 +1,190 @@
+package olivechute.issuer;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import olivechute.grpc.GrpcConnection;
+import olivechute.grpc.GrpcException;
+import olivechute.net.Threads;
+import olivechute.source.WorkloadMessages;
+
+/**
+ * A stand-in of the agent that serves the SPIFFE Workload API on a Unix or loopback socket: each call gets what was published last and
+ * whatever is published from then on. It can be told to turn calls away, to say nothing or to hang up.
+ */
+public final class WorkloadAgent implements AutoCloseable {
+    private static final int READ = 16 * 1024;
+
+    private final ServerSocketChannel server;
+    private final Path path;                                            // null for a loopback socket
+    private final Set<Session> sessions = ConcurrentHashMap.newKeySet();
+    private final Map<String, byte[]> published = new ConcurrentHashMap<>();
+    private final AtomicInteger calls = new AtomicInteger();
+    private volatile int status;                                        // of gRPC, that calls end with; 0 for none
+    private volatile boolean silent;
+
+    /** At this path, which must not be there yet. */
+    public WorkloadAgent(Path path) throws IOException {
+        this.path = path;
+        server = ServerSocketChannel.open(StandardProtocolFamily.UNIX).bind(UnixDomainSocketAddress.of(path));
+        start();
+    }
+
+    /** At this port of the loopback address, any free one for 0. */
+    public WorkloadAgent(int port) throws IOException {
+        this.path = null;
+        server = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        start();
+    }
+
+    private void start() {
+        Threads.start("workload-agent", () -> {
+            try {
+                for (;;) {
+                    Session session = new Session(server.accept());
+                    sessions.add(session);
+                    Threads.start("workload-agent-call", session::run);
+                }
+            } catch (IOException closed) {
+                return;
+            }
+        });
+    }
+
+    /** Where it listens. */
+    public SocketAddress address() throws IOException {
+        return server.getLocalAddress();
+    }
+
+    /** Calls that came in. */
+    public int calls() {
+        return calls.get();
+    }
+
+    /** Sends this to all who called this method, and to who calls it from now on. */
+    public void publish(String method, byte[] message) {
+        published.put(method, message);
+        sessions.forEach(s -> s.publish(method, message));
+    }
+
+    /** Calls end at once with this status of gRPC, 7 for a caller who is nobody; 0 serves them again. */
+    public void turnAway(int with) {
+        status = with;
+    }
+
+    /** Takes calls and says nothing. */
+    public void silent(boolean on) {
+        silent = on;
+    }
+
+    /** Ends all connections. */
+    public void hangUp() throws IOException {
+        for (Session each : sessions) {
+            each.channel.close();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        hangUp();
+        if (path != null) {
+            Files.deleteIfExists(path);
+        }
+    }
+
+    private final class Session implements GrpcConnection.Listener {
+        private final SocketChannel channel;
+        private final GrpcConnection machine = GrpcConnection.server(this);     // guarded by this
+        private final Map<Integer, String> open = new HashMap<>();              // guarded by this: methods by their streams
+
+        Session(SocketChannel channel) {
+            this.channel = channel;
+        }
+
+        void run() {
+            ByteBuffer room = ByteBuffer.allocate(READ);
+            try (channel) {
+                for (int n = 0; n >= 0; n = channel.read(room.clear())) {
+                    synchronized (this) {
+                        machine.feed(room.array(), 0, n);
+                        send();
+                    }
+                }
+            } catch (IOException | GrpcException e) {
+                return;                 // the caller's to notice
+            } finally {
+                sessions.remove(this);
+            }
+        }
+
+        private void send() throws IOException {
+            ByteBuffer ready = ByteBuffer.wrap(machine.toSend());
+            while (ready.hasRemaining()) {
+                channel.write(ready);
+            }
+        }
+
+        synchronized void publish(String method, byte[] message) {
+            try {
+                for (Map.Entry<Integer, String> each : open.entrySet()) {
+                    if (each.getValue().equals(method) && !silent) {
+                        machine.message(each.getKey(), message);
+                    }
+                }
+                send();
+            } catch (IOException | GrpcException e) {
+                sessions.remove(this);
+            }
+        }
+
+        @Override
+        public void headers(int stream, Map<String, String> headers) {
+            calls.incrementAndGet();
+            String method = headers.get(":path");
+            boolean named = headers.entrySet().containsAll(WorkloadMessages.METADATA.entrySet());
+            try {
+                int end = status != 0 ? status : !named ? 3 : 0;
+                if (silent) {
+                    return;
+                }
+                machine.answer(stream);
+                if (end != 0) {
+                    machine.finish(stream, Map.of("grpc-status", String.valueOf(end), "grpc-message", "turned away"));
+                    return;
+                }
+                open.put(stream, method);
+                if (published.containsKey(method)) {
+                    machine.message(stream, published.get(method));
+                }
+            } catch (GrpcException e) {
+                sessions.remove(this);
+            }
+        }
+
+        @Override
+        public void message(int stream, byte[] body) {
+            // requests have no fields
+        }
+
+        @Override
+        public void ended(int stream, Map<String, String> trailers) {
+            if (trailers.containsKey("reset")) {
+                open.remove(stream);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/issuer/WorkloadResponses.java
@@ -0,0 +1,77 @@
+package olivechute.issuer;
+
+import com.google.protobuf.CodedOutputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.security.cert.CertificateEncodingException;
+import java.security.cert.X509Certificate;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+
+/** Messages of the SPIFFE Workload API as an agent sends them, by the numbers of its public definition. */
+public final class WorkloadResponses {
+    private WorkloadResponses() { }
+
+    private interface Parts {
+        void write(CodedOutputStream out) throws IOException;
+    }
+
+    private static byte[] message(Parts parts) {
+        try {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+            parts.write(out);
+            out.flush();
+            return bytes.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** One identity's documents: {@code bundle} is of its own domain, {@code federated} by the names of others. */
+    public static byte[] x509(String id, Authority.Issued issued, List<X509Certificate> bundle, Map<String, List<X509Certificate>> federated,
+                              String hint) {
+        byte[] svid = message(out -> {
+            out.writeString(1, id);
+            out.writeByteArray(2, der(issued.chain()));
+            out.writeByteArray(3, issued.key().getEncoded());
+            out.writeByteArray(4, der(bundle));
+            out.writeString(5, hint);
+        });
+        return message(out -> {
+            out.writeByteArray(1, svid);
+            for (Map.Entry<String, List<X509Certificate>> each : federated.entrySet()) {
+                out.writeByteArray(3, entry(each.getKey(), der(each.getValue())));
+            }
+        });
+    }
+
+    /** Key sets by the names of trust domains. */
+    public static byte[] jwtBundles(Map<String, String> keySets) {
+        return message(out -> {
+            for (Map.Entry<String, String> each : keySets.entrySet()) {
+                out.writeByteArray(1, entry(each.getKey(), each.getValue().getBytes(StandardCharsets.UTF_8)));
+            }
+        });
+    }
+
+    private static byte[] entry(String domain, byte[] value) {
+        return message(out -> {
+            out.writeString(1, "spiffe://" + domain);
+            out.writeByteArray(2, value);
+        });
+    }
+
+    private static byte[] der(List<X509Certificate> certificates) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        try {
+            for (X509Certificate each : certificates) {
+                all.writeBytes(each.getEncoded());
+            }
+        } catch (CertificateEncodingException e) {
+            throw new IllegalStateException(e);
+        }
+        return all.toByteArray();
+    }
+}
--- a/src/main/java/olivechute/secure/Identities.java
+++ b/src/main/java/olivechute/secure/Identities.java
@@ -24,10 +24,10 @@
     private final Supplier<Instant> clock;
     private volatile Own own;
     private volatile String failure;            // said last, not to be said at each look
-    private Instant warned = Instant.MIN;       // the identity, by its end, whose end was told of; one thread's
+    private Instant warned;                     // the moment that was told of last; one thread's
 
-    /** Our identity and the context made of it. */
-    record Own(OwnIdentity identity, TlsContext context) { }
+    /** Our identity, the context made of it, and since when it is in force. */
+    record Own(OwnIdentity identity, TlsContext context, Instant since) { }
 
     Identities(String trustDomain, boolean lenient, Supplier<Instant> clock) throws RefusedException {
         this.keeper = new SvidKeeper(trustDomain);
@@ -68,7 +68,7 @@
         }
         OwnIdentity next = keeper.state().own();
         if (own == null || own.identity != next) {
-            own = new Own(next, new TlsContext(next.svid().chain(), next.key(), lenient, this::bundles, clock));
+            own = new Own(next, new TlsContext(next.svid().chain(), next.key(), lenient, this::bundles, clock), clock.get());
         }
         Logger.info("identity {} until {}, with bundles of {}", next.svid().id(), next.svid().notAfter(),
             bundles().all().stream().map(b -> b.trustDomain() + " (" + b.authorities().size() + ")").sorted().toList());
@@ -84,22 +84,28 @@
         }
     }
 
-    /** Says in time that an identity runs out: once when a third of its life is left, once when it is over. For one thread. */
-    void watch() {
+    /**
+     * Says in time that an identity runs out: once when a third of its time with us is left, once when it is over. True when it says so. For one
+     * thread.
+     */
+    boolean watch() {
         Own held = own;
         if (held == null) {
-            return;
+            return false;
         }
         Instant end = held.identity.svid().notAfter();
         Instant now = clock.get();
-        Instant from = held.identity.svid().chain().get(0).getNotBefore().toInstant();
-        Duration third = Duration.between(from, end).dividedBy(3);
-        if (now.isAfter(end) && !warned.equals(end.plusNanos(1))) {
-            warned = end.plusNanos(1);
+        Instant due = end.minus(Duration.between(held.since, end).dividedBy(3));
+        Instant mark = now.isAfter(end) ? end : now.isAfter(due) ? due : null;
+        if (mark == null || mark.equals(warned)) {
+            return false;
+        }
+        warned = mark;
+        if (mark.equals(end)) {
             Logger.error("our own identity expired at {}: no new connection until it is renewed", end);
-        } else if (!now.isAfter(end) && now.isAfter(end.minus(third)) && !warned.equals(end)) {
-            warned = end;
+        } else {
             Logger.warn("our own identity expires at {} and is not renewed yet", end);
         }
+        return true;
     }
 }
--- a/src/main/java/olivechute/secure/Secured.java
+++ b/src/main/java/olivechute/secure/Secured.java
@@ -1,11 +1,14 @@
 package olivechute.secure;
 
 import java.io.IOException;
+import java.net.UnixDomainSocketAddress;
 import java.nio.channels.SocketChannel;
+import java.security.SecureRandom;
 import java.time.Instant;
 import java.util.concurrent.Semaphore;
 import java.util.function.Supplier;
 import olivechute.config.IdentitySettings;
+import olivechute.config.IdentitySettings.Kind;
 import olivechute.config.IdentitySettings.Mode;
 import olivechute.config.IdentitySettings.Rules;
 import olivechute.downstream.Visitor;
@@ -15,6 +18,7 @@
 import olivechute.identity.X509Svid;
 import olivechute.net.Link;
 import olivechute.source.FolderSource;
+import olivechute.source.WorkloadSource;
 import olivechute.upstream.Dialler;
 
 /** Identities for both sides of a node, as the operators' settings say. */
@@ -29,6 +33,7 @@
     private final Semaphore dialling;
     private final Tokens tokens = new Tokens();
     private volatile Rules rules;
+    private WorkloadSource agent;               // null where the source is another
 
     /** Under this clock, which may step either way. */
     public Secured(IdentitySettings settings, Supplier<Instant> clock) {
@@ -45,9 +50,16 @@
 
     /** Asks the source for the first time, and has it go on from then. */
     public void start() {
-        FolderSource folder = new FolderSource(settings.source().folder(), settings.trustDomain());
-        folder.look(identities);
-        folder.start(identities, settings.source().poll());
+        IdentitySettings.Source source = settings.source();
+        if (source.kind() == Kind.FOLDER) {
+            FolderSource folder = new FolderSource(source.folder(), settings.trustDomain());
+            folder.look(identities);
+            folder.start(identities, source.poll());
+        } else {
+            agent = new WorkloadSource(source.socket() == null ? source.address() : UnixDomainSocketAddress.of(source.socket()),
+                source.hint(), settings.rules().audience() != null, new SecureRandom());
+            agent.start(identities);
+        }
     }
 
     /** Other rules from now on, for connections that are open too. */
@@ -57,7 +69,9 @@
 
     /** Tells in the log of an identity that runs out; to be called now and then, on one thread. */
     public void watch() {
-        identities.watch();
+        if (identities.watch() && agent != null) {
+            agent.nudge();              // it is connected, or seems to be, and yet has not renewed what is due
+        }
     }
 
     /** To upstream hosts, each of which must be who its name asks for. */
--- a/src/test/java/olivechute/SecureNodeRig.java
+++ b/src/test/java/olivechute/SecureNodeRig.java
@@ -31,7 +31,7 @@
         identity {
           enabled = true
           trust_domain = "dala.example"
-          source { folder = "FOLDER", poll = 50ms }
+          SOURCE
           downstream { mode = only }
           upstream = true
           clients = [
@@ -166,7 +166,7 @@
         discovery = peer(r -> null);
         Path file = config(discovery, 1024, known);
         Files.writeString(file, Files.readString(file).replace("\"deadline\":5", "\"deadline\":" + deadline));
-        settings = Files.writeString(Files.createTempFile("olivechute", ".conf"), text.replace("FOLDER", folder.toString())
+        settings = Files.writeString(Files.createTempFile("olivechute", ".conf"), text.replace("SOURCE", "source { folder = \"" + folder + "\", poll = 50ms }")
             .replace("EXTRA", ""));
         node = new Node(NodeConfig.load(Map.of("LB_CONFIG", file.toString(), "OLIVECHUTE_SETTINGS", settings.toString())), this::now);
         Files.delete(file);
--- a/src/test/java/olivechute/SecureNodeTest.java
+++ b/src/test/java/olivechute/SecureNodeTest.java
@@ -99,7 +99,7 @@
         startSecure(SETTINGS, entry("s1", host, "active", 0));
         Client client = client("/client/acme");
         assertEquals(client.call(Client.job("sign", "t1", 5000)).status(), 200);
-        java.nio.file.Files.writeString(settings, SETTINGS.replace("FOLDER", folder.toString()).replace("EXTRA", "")
+        java.nio.file.Files.writeString(settings, SETTINGS.replace("SOURCE", "source { folder = \"" + folder + "\", poll = 50ms }").replace("EXTRA", "")
             .replace("tenants = [acme]", "tenants = [other]"));
         java.nio.file.Path file = config(discovery, 1024);
         node.reload(olivechute.config.NodeConfig.reload(Map.of("LB_CONFIG", file.toString(),
--- /dev/null
+++ b/src/test/java/olivechute/WorkloadNodeTest.java
@@ -0,0 +1,141 @@
+package olivechute;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.file.Path;
+import java.security.cert.X509Certificate;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import olivechute.http.HttpResponse;
+import olivechute.http.MessageWriter;
+import olivechute.issuer.Authority;
+import olivechute.issuer.TokenIssuer;
+import olivechute.issuer.WorkloadAgent;
+import olivechute.issuer.WorkloadResponses;
+import olivechute.source.WorkloadMessages;
+import olivechute.tls.TlsContext;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A node whose identity comes from an agent's socket, and tokens of clients behind a proxy. */
+public class WorkloadNodeTest extends SecureNodeRig {
+    private static final Duration HOUR = Duration.ofHours(1);
+    private static final String JWT = "jwt { audience = \"node\", proxies = [\"spiffe://dala.example/proxy\"] }";
+
+    private final TokenIssuer tokens = new TokenIssuer("k1");
+    private WorkloadAgent agent;
+    private Path socket;
+
+    @BeforeMethod
+    public void setUpAgent() throws Exception {
+        socket = folder.resolve("agent.sock");
+        agent = new WorkloadAgent(socket);
+        parties.add(agent);
+    }
+
+    private void publish(Authority.Issued issued, X509Certificate... authorities) {
+        agent.publish(WorkloadMessages.FETCH_X509,
+            WorkloadResponses.x509("spiffe://dala.example/node", issued, List.of(authorities), Map.of(), ""));
+    }
+
+    private void startByAgent(String extra, String... known) throws Exception {
+        startSecure(SETTINGS.replace("SOURCE", "source { kind = workload-api, socket = \"unix:" + socket + "\" }")
+            .replace("EXTRA", extra), known);
+    }
+
+    private boolean served(TlsContext identity, String id) {
+        try (Client client = client(identity)) {
+            HttpResponse answer = client.call(Client.job("sign", id, 5000));
+            return answer != null && answer.status() == 200;
+        } catch (Exception refused) {
+            return false;
+        }
+    }
+
+    /** A renewal by the stream is in force for the next handshake; an agent that goes away and comes back is found again. */
+    @Test
+    public void anIdentityComesByTheStreamAndIsRenewedByIt() throws Exception {
+        Peer host = worker("s1", "signed");
+        TlsContext acme = workload("/client/acme");
+        startByAgent("", entry("s1", host, "active", 0));
+        await(() -> agent.calls() == 1);
+        assertEquals(served(acme, "early"), false);             // no identity of our own: nobody is spoken with
+        publish(issue("/node", Duration.ofSeconds(30)), root.certificate());
+        await(() -> served(acme, "a" + System.nanoTime()));
+        agent.turnAway(7);
+        agent.hangUp();
+        await(() -> agent.calls() > 1);
+        assertTrue(served(acme, "b"));                          // the last one is in force
+        step = Duration.ofSeconds(31);
+        assertEquals(served(acme, "c"), false);
+        publish(issue("/node", HOUR), root.certificate());
+        agent.turnAway(0);
+        await(() -> served(acme, "d" + System.nanoTime()));
+    }
+
+    @Test
+    public void rubbishFromTheAgentChangesNothing() throws Exception {
+        Peer host = worker("s1", "signed");
+        TlsContext acme = workload("/client/acme");
+        publish(issue("/node", HOUR), root.certificate());
+        startByAgent("", entry("s1", host, "active", 0));
+        await(() -> served(acme, "a" + System.nanoTime()));
+        agent.publish(WorkloadMessages.FETCH_X509, new byte[] {1, 2, 3});
+        agent.publish(WorkloadMessages.FETCH_X509, new byte[0]);
+        publish(issue("/node", HOUR), authority().certificate());
+        agent.publish(WorkloadMessages.FETCH_X509, WorkloadResponses.x509("spiffe://other.example/x",
+            issue("/node", HOUR), List.of(root.certificate()), Map.of(), ""));
+        assertTrue(served(acme, "b"));
+    }
+
+    /** Tokens count on a proxy's connection only, by the keys that the agent brings, for the tenant of the identity that they show. */
+    @Test
+    public void aTokenBehindAProxyStandsForItsClient() throws Exception {
+        Peer host = worker("s1", "signed");
+        publish(issue("/node", HOUR), root.certificate());
+        agent.publish(WorkloadMessages.FETCH_JWT_BUNDLES, WorkloadResponses.jwtBundles(Map.of(DOMAIN, tokens.keySet())));
+        startByAgent(JWT, entry("s1", host, "active", 0));
+        TlsContext proxy = workload("/proxy");
+        String good = tokens.token("spiffe://dala.example/client/acme", List.of("node"), now().plusSeconds(60));
+        await(() -> status(proxy, "t" + System.nanoTime(), good) == 200);
+        assertEquals(status(proxy, "t1", good), 200);
+        assertEquals(status(proxy, "t2", null), 403);
+        assertEquals(status(proxy, "t3", tokens.token("spiffe://dala.example/client/bolt", List.of("node"), now().plusSeconds(60))), 403);
+        assertEquals(status(proxy, "t4", tokens.token("spiffe://dala.example/client/acme", List.of("else"), now().plusSeconds(60))), 403);
+        assertEquals(status(proxy, "t5", new TokenIssuer("k1").token("spiffe://dala.example/client/acme", List.of("node"),
+            now().plusSeconds(60))), 403);
+        assertEquals(status(workload("/client/bolt"), "t6", good), 403);
+        step = Duration.ofSeconds(61);
+        assertEquals(status(workload("/proxy"), "t7", good), 403);      // held a moment ago, and is remembered
+    }
+
+    private int status(TlsContext identity, String id, String token) {
+        try (Client client = client(identity)) {
+            HttpResponse answer = client.call(MessageWriter.request("POST", "/verify", "node", new byte[3], "X-Txn", id, "X-Org", "acme",
+                "Authorization", token == null ? null : "Bearer " + token));
+            return answer == null ? 0 : answer.status();
+        } catch (Exception refused) {
+            return -1;
+        }
+    }
+
+    /** The agent is connected and brings nothing: when a renewal is overdue it is asked anew. */
+    @Test
+    public void anAgentThatFellSilentIsDialledAnewWhenARenewalIsDue() throws Exception {
+        TlsContext acme = workload("/client/acme");
+        Peer host = worker("s1", "signed");
+        publish(issue("/node", Duration.ofSeconds(60)), root.certificate());
+        startByAgent("", entry("s1", host, "active", 0));
+        await(() -> served(acme, "a" + System.nanoTime()));
+        agent.silent(true);
+        publish(issue("/node", HOUR), root.certificate());
+        agent.silent(false);
+        assertEquals(agent.calls(), 1);
+        step = Duration.ofSeconds(45);                          // of 120 s of life 15 are left
+        await(() -> agent.calls() == 2);
+        step = Duration.ofSeconds(90);
+        await(() -> served(acme, "b" + System.nanoTime()));
+    }
+}
--- /dev/null
+++ b/src/test/java/olivechute/grpc/GrpcConnectionTest.java
@@ -0,0 +1,162 @@
+package olivechute.grpc;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Two sides whose bytes are carried in pieces, and frames that no peer should send. */
+class GrpcConnectionTest {
+    /** What a side heard, in order. */
+    private static final class Heard implements GrpcConnection.Listener {
+        private final List<String> words = new ArrayList<>();
+        private final List<byte[]> messages = new ArrayList<>();
+        private int stream;
+
+        @Override
+        public void headers(int on, Map<String, String> headers) {
+            stream = on;
+            words.add("headers " + headers.getOrDefault(":path", headers.get(":status")));
+        }
+
+        @Override
+        public void message(int on, byte[] body) {
+            words.add("message " + body.length);
+            messages.add(body);
+        }
+
+        @Override
+        public void ended(int on, Map<String, String> trailers) {
+            words.add("ended " + trailers);
+        }
+    }
+
+    private Heard atClient = new Heard();
+    private Heard atServer = new Heard();
+    private GrpcConnection client = GrpcConnection.client(atClient);
+    private GrpcConnection server = GrpcConnection.server(atServer);
+
+    private void carry(Random random) throws GrpcException {
+        for (boolean moved = true; moved;) {
+            byte[] up = client.toSend();
+            byte[] down = server.toSend();
+            feed(server, up, random);
+            feed(client, down, random);
+            moved = up.length + down.length > 0;
+        }
+    }
+
+    private static void feed(GrpcConnection side, byte[] bytes, Random random) throws GrpcException {
+        for (int at = 0; at < bytes.length;) {
+            int n = Math.min(bytes.length - at, 1 + random.nextInt(9000));
+            side.feed(bytes, at, n);
+            at += n;
+        }
+    }
+
+    @Test
+    void aCallIsAnsweredByMessagesAndTrailers() throws GrpcException {
+        client.call("localhost", "/S/M", Map.of("key", "value"), new byte[] {1, 2});
+        carry(new Random(1));
+        server.answer(atServer.stream);
+        server.message(atServer.stream, new byte[0]);
+        server.message(atServer.stream, new byte[] {7});
+        server.finish(atServer.stream, Map.of("grpc-status", "0"));
+        carry(new Random(1));
+        assertEquals(List.of("headers /S/M", "message 2", "ended {}"), atServer.words);
+        assertEquals(List.of("headers 200", "message 0", "message 1", "ended {grpc-status=0}"), atClient.words);
+    }
+
+    /** Beyond any window, and in pieces of any size: all of it comes, once and in order. */
+    @Property(tries = 30, seed = "20261201")
+    void largeMessagesComeWhole(@ForAll @LongRange(max = 1L << 30) long seed) throws GrpcException {
+        Random random = new Random(seed);
+        atClient = new Heard();             // each try is a connection of its own
+        atServer = new Heard();
+        client = GrpcConnection.client(atClient);
+        server = GrpcConnection.server(atServer);
+        client.call("localhost", "/S/M", Map.of(), new byte[0]);
+        carry(random);
+        server.answer(atServer.stream);
+        List<byte[]> sent = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            byte[] body = new byte[random.nextInt(600_000)];
+            random.nextBytes(body);
+            sent.add(body);
+            server.message(atServer.stream, body);
+        }
+        server.finish(atServer.stream, Map.of("grpc-status", "0"));
+        carry(random);
+        assertEquals(sent.size(), atClient.messages.size());
+        for (int i = 0; i < sent.size(); i++) {
+            assertArrayEquals(sent.get(i), atClient.messages.get(i));
+        }
+        assertTrue(atClient.words.get(6).startsWith("ended"));
+    }
+
+    /** Frames as hexadecimal digits, fed to a caller with one call out: the connection ends by the declared exception. */
+    @ParameterizedTest
+    @CsvSource({
+        "00400100 0000000001, a frame of",
+        "000005 00 00 00000001 0100000000, a compressed message",
+        "000005 00 00 00000001 0000200001, a message of 2097153 bytes",
+        "000005 00 00 00000001 00ffffffff, a message of 4294967295 bytes",
+        "000001 01 04 00000003 88, headers on stream 3",
+        "000001 01 00 00000001 88 000000 06 00 00000000, broken off",
+        "000001 09 04 00000001 88, goes on that has not begun",
+        "000001 01 04 00000001 ff, headers that cannot be read",
+        "000001 01 0c 00000001 05, more padding than frame",
+        "000001 01 24 00000001 05, too short",
+        "000002 08 00 00000001 0005, too short",
+        "000006 04 00 00000000 0004ffffffff, a window over",
+        "000004 05 04 00000001 00000002, a push",
+        "000008 07 00 00000000 0000000000000000, goes away",
+    })
+    void whatNoPeerShouldSendEndsTheConnection(String frames, String told) throws GrpcException {
+        client.call("localhost", "/S/M", Map.of(), new byte[0]);
+        client.toSend();
+        byte[] bytes = java.util.HexFormat.of().parseHex(frames.replace(" ", ""));
+        String text = assertThrows(GrpcException.class, () -> client.feed(bytes, 0, bytes.length)).getMessage();
+        assertTrue(text.contains(told), text);
+    }
+
+    @Test
+    void whoSpeaksNoHttp2IsToldApartAtOnce() {
+        byte[] plain = "GET / HTTP/1.1\r\n".getBytes();
+        assertThrows(GrpcException.class, () -> server.feed(plain, 0, plain.length));
+    }
+
+    /** Rubbish behind a sound beginning: no exception but the declared one, no buffer beyond its bound. */
+    @Property(tries = 2000, seed = "20261201")
+    void rubbishEndsInNothingElse(@ForAll @LongRange(max = 1L << 40) long seed) {
+        Random random = new Random(seed);
+        GrpcConnection side = GrpcConnection.client(new Heard());
+        try {
+            side.call("localhost", "/S/M", Map.of(), new byte[0]);
+            for (int i = 0; i < 20; i++) {
+                byte[] frame = new byte[9 + random.nextInt(60)];
+                random.nextBytes(frame);
+                Arrays.fill(frame, 0, 9, (byte) 0);
+                frame[2] = (byte) (frame.length - 9);
+                frame[3] = (byte) random.nextInt(11);
+                frame[4] = (byte) random.nextInt(64);
+                frame[8] = (byte) random.nextInt(2);
+                side.feed(frame, 0, frame.length);
+            }
+        } catch (GrpcException declared) {
+            assertTrue(declared.getMessage() != null);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/olivechute/source/SvidFuzzTest.java
@@ -0,0 +1,123 @@
+package olivechute.source;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.security.cert.CertificateEncodingException;
+import java.security.cert.X509Certificate;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import olivechute.identity.KeySets;
+import olivechute.identity.PemReader;
+import olivechute.identity.RefusedException;
+import olivechute.identity.SpiffeId;
+import olivechute.identity.SvidKeeper;
+import olivechute.identity.SvidKeeper.Offer;
+import olivechute.identity.TrustBundles;
+import olivechute.identity.X509Check;
+import olivechute.issuer.Authority;
+import olivechute.issuer.TokenIssuer;
+import olivechute.issuer.WorkloadResponses;
+import org.junit.jupiter.api.Test;
+
+/** Documents, key sets and messages with bytes changed, cut or doubled: no exception but the declared one, and never another identity. */
+class SvidFuzzTest {
+    private static final String ID = "spiffe://td/node";
+    private static final Instant NOW = Instant.parse("2026-12-01T12:00:00Z");
+    private static final Authority ROOT = Authority.root("td", NOW.minusSeconds(60), NOW.plusSeconds(60));
+    private static final Authority.Issued ISSUED = issued();
+    private static final byte[] DER = der(ISSUED.chain());
+    private static final byte[] KEYS = new TokenIssuer("k").keySet().getBytes(StandardCharsets.ISO_8859_1);
+    private static final byte[] RESPONSE = WorkloadResponses.x509(ID, ISSUED, List.of(ROOT.certificate()),
+        Map.of("other", List.of(ROOT.certificate())), "hint");
+
+    private static Authority.Issued issued() {
+        try {
+            return ROOT.intermediate(NOW.minusSeconds(60), NOW.plusSeconds(60)).issue(SpiffeId.parse(ID), NOW.minusSeconds(60),
+                NOW.plusSeconds(60));
+        } catch (RefusedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static byte[] der(List<X509Certificate> chain) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        try {
+            for (X509Certificate each : chain) {
+                all.writeBytes(each.getEncoded());
+            }
+        } catch (CertificateEncodingException e) {
+            throw new IllegalStateException(e);
+        }
+        return all.toByteArray();
+    }
+
+    /** A few bytes changed, or a piece cut out or put in twice. */
+    private static byte[] spoilt(byte[] sound, Random random) {
+        byte[] bytes = sound.clone();
+        for (int n = random.nextInt(4); n >= 0; n--) {
+            bytes[random.nextInt(bytes.length)] = (byte) (random.nextBoolean() ? random.nextInt(256) : random.nextInt(3) - 1);
+        }
+        if (random.nextInt(4) > 0) {
+            return bytes;
+        }
+        int from = random.nextInt(bytes.length);
+        int to = from + random.nextInt(bytes.length - from);
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.write(bytes, 0, random.nextBoolean() ? from : to);
+        out.write(bytes, random.nextBoolean() ? from : to, bytes.length - to);
+        return out.toByteArray();
+    }
+
+    @Test
+    void whatIsSoundHolds() throws RefusedException {
+        assertEquals(ID, X509Check.check(PemReader.derCertificates(DER), TrustBundles.EMPTY.with(ROOT.bundle()), NOW).id().toString());
+        SvidKeeper keeper = new SvidKeeper("td");
+        Offer offer = WorkloadMessages.x509(RESPONSE, "hint");
+        keeper.offer(offer, NOW);
+        assertEquals(ID, keeper.state().own().svid().id().toString());
+        assertEquals(2, keeper.state().bundles().all().size());
+        assertEquals(1, KeySets.keys(new String(KEYS, StandardCharsets.ISO_8859_1)).size());
+    }
+
+    @Property(tries = 1500, seed = "20261201")
+    void aSpoiltDocumentIsRefusedOrStillWhatItWas(@ForAll @LongRange(max = 1L << 40) long seed) {
+        byte[] bytes = spoilt(DER, new Random(seed));
+        try {
+            SpiffeId id = X509Check.check(PemReader.derCertificates(bytes), TrustBundles.EMPTY.with(ROOT.bundle()), NOW).id();
+            assertEquals(ID, id.toString(), "seed " + seed);
+        } catch (RefusedException declared) {
+            assertNotNull(declared.reason());
+        }
+    }
+
+    @Property(tries = 1500, seed = "20261201")
+    void aSpoiltMessageIsRefusedOrTakenWhole(@ForAll @LongRange(max = 1L << 40) long seed) {
+        byte[] bytes = spoilt(RESPONSE, new Random(seed));
+        try {
+            SvidKeeper keeper = new SvidKeeper("td");
+            keeper.offer(WorkloadMessages.x509(bytes, ""), NOW);
+            assertEquals(ID, keeper.state().own().svid().id().toString(), "seed " + seed);
+        } catch (RefusedException declared) {
+            assertNotNull(declared.reason());
+        }
+    }
+
+    @Property(tries = 1500, seed = "20261201")
+    void aSpoiltKeySetIsRefusedOrRead(@ForAll @LongRange(max = 1L << 40) long seed) {
+        byte[] bytes = spoilt(KEYS, new Random(seed));
+        try {
+            assertNotNull(KeySets.keys(new String(bytes, StandardCharsets.ISO_8859_1)));
+            WorkloadMessages.jwtBundles(bytes);
+        } catch (RefusedException declared) {
+            assertNotNull(declared.reason());
+        }
+    }
+}
