Hold the handshakes' own time-outs by tests, and send the 200 jobs of the rollover in waves

The rollover's 200 handshakes at once ran into the dial time-out on a slow machine, so that its verdict hung on speed.

Change: a host that shakes no hands, a handshake bound of 200 ms, and a close at once without an identity of our own are tests; the 200 jobs are sent ten by ten.

--- a/src/test/java/olivechute/SecureNodeTest.java
+++ b/src/test/java/olivechute/SecureNodeTest.java
@@ -27,6 +27,7 @@
     private static final Duration HOUR = Duration.ofHours(1);
     private static final int HOSTS = 220;
     private static final int JOBS = 200;
+    private static final int WAVE = 10;
 
     // ---- who may be what ------------------------------------------------------------------------------------
 
@@ -159,6 +160,32 @@
         assertEquals(forgers.stream().mapToInt(f -> f.requests().size()).sum(), 0);
     }
 
+    /** It takes the connection and says nothing: not connected within the dial time-out, long before a job's time is over. */
+    @Test
+    public void aHostThatShakesNoHandsCouldNotBeConnectedTo() throws Exception {
+        Peer silent = peer(r -> null);
+        startSecure(SETTINGS, entry("s1", worker("s1", "signed"), "active", 0), entry("s2", silent, "active", 0));
+        assertEquals(text(client("/client/acme").call(Client.job("pay", "t1", 950))), "200 signed");
+        assertTrue(silent.connections.get() > 0);
+    }
+
+    @Test
+    public void aHandshakeHasItsOwnTimeOut() throws Exception {
+        startSecure(SETTINGS.replace("EXTRA", "tls { downstream_handshake = 200ms }"));
+        assertTrue(closedWithin(1_500) >= 150_000_000L);
+    }
+
+    /** Nanoseconds until the node closes a connection that says nothing; fails after so many milliseconds. */
+    private long closedWithin(int millis) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(node.address(), 1000);
+            socket.setSoTimeout(millis);
+            long before = System.nanoTime();
+            assertEquals(socket.getInputStream().read(), -1);
+            return System.nanoTime() - before;
+        }
+    }
+
     // ---- what runs out --------------------------------------------------------------------------------------
 
     /** A client's identity runs out during its job: that ends with its one answer, and nothing new comes in after it. */
@@ -206,6 +233,7 @@
         assertEquals(news.call(Client.news("t1", "s1", "\"state\":\"started\"")).status(), 204);
         step = Duration.ofSeconds(31);
         assertEquals(tellAs(worker, "t1", "s1", done("signed")), 0);
+        closedWithin(1_500);            // at once: there is no handshake to wait for
         own.svid(issue("/node", HOUR));
         await(() -> told(worker, "t1", done("signed")));
         assertEquals(text(client.receive()), "200 signed");
@@ -288,8 +316,11 @@
         List<Client> clients = new ArrayList<>();
         for (int i = 0; i < JOBS; i++) {
             clients.add(client(acme).send(Client.job("sign", "t" + i, 30_000)));
+            int sent = i + 1;
+            if (sent % WAVE == 0) {         // each is a handshake on both sides, within the dial time-out on the one
+                await(() -> ran.size() == sent);
+            }
         }
-        await(() -> ran.size() == JOBS);
         Authority second = authority();
         trust(first, second);
         root = second;
