--- a/src/main/java/olivechute/Commands.java
+++ b/src/main/java/olivechute/Commands.java
@@ -98,6 +98,9 @@
             name(environment, settings);
             List<String> faults = NodeConfig.faults(environment);
             faults.forEach(spec.commandLine().getErr()::println);
+            if (faults.isEmpty()) {
+                spec.commandLine().getOut().println(NodeConfig.identitiesIn(environment));
+            }
             return faults.isEmpty() ? 0 : 1;
         }
     }
--- a/src/main/java/olivechute/config/IdentitySettings.java
+++ b/src/main/java/olivechute/config/IdentitySettings.java
@@ -150,6 +150,17 @@
         return new Rules(new ClientRules(clients), new HostRules(hosts), audience.isEmpty() ? null : audience, List.copyOf(proxies), plain);
     }
 
+    /** What is on and what is off, and by which key. */
+    String about() {
+        String clients = switch (downstream.mode) {
+            case OFF -> "off towards clients, as downstream.mode is off";
+            case ONLY -> "asked of every client";
+            case BESIDE -> "asked of clients at " + downstream.listen + " only";
+        };
+        return "identities: " + clients + "; " + (upstream ? "asked of every sign worker" : "off towards sign workers, as upstream is false")
+            + "; tokens " + (rules.audience == null ? "off, as jwt.audience is not given" : "for " + rules.audience);
+    }
+
     /** The keys whose values differ from another's but cannot change while a node runs. */
     static List<String> fixed(IdentitySettings now, IdentitySettings before) {
         if (now == null || before == null) {
--- a/src/main/java/olivechute/config/NodeConfig.java
+++ b/src/main/java/olivechute/config/NodeConfig.java
@@ -128,6 +128,15 @@
         return List.copyOf(faults);
     }
 
+    /** Whether a node under this environment would use identities, where, and if not why; its configuration holds. */
+    public static String identitiesIn(Map<String, String> environment) {
+        if (!OperatorFile.named(environment)) {
+            return "identities: off, as neither --settings nor " + OperatorFile.VARIABLE + " names a file";
+        }
+        IdentitySettings identity = OperatorFile.load(environment);
+        return identity == null ? "identities: off, as identity.enabled is false" : identity.about();
+    }
+
     private static void note(Set<String> faults, Runnable part) {
         try {
             part.run();
--- a/src/test/java/olivechute/config/OperatorFileTest.java
+++ b/src/test/java/olivechute/config/OperatorFileTest.java
@@ -49,6 +49,7 @@
         assertTrue(read.upstream());
         assertEquals("node", read.rules().audience());
         assertEquals(1, read.rules().proxies().size());
+        assertEquals("identities: asked of clients at /127.0.0.1:7443 only; asked of every sign worker; tokens for node", read.about());
         assertEquals(List.of(), IdentitySettings.fixed(read, read(GOOD)));
         assertEquals(List.of("identity.source"), IdentitySettings.fixed(read, read(GOOD.replace("250ms", "300ms"))));
         assertEquals(List.of("identity.enabled"), IdentitySettings.fixed(null, read));
