--- a/src/main/java/olivechute/downstream/DownstreamConnection.java
+++ b/src/main/java/olivechute/downstream/DownstreamConnection.java
@@ -17,6 +17,7 @@
 final class DownstreamConnection {
     /** What surely fits in the send buffer, whether its peer reads or not. */
     private static final int SURE = Link.SEND_BUFFER / 2;
+    private static final long NEVER = Long.MAX_VALUE;
     static final long MESSAGE = 100_000;                    // how long one is left to come before it may be shed
     private static final long LINGER = 1_500_000;           // how long a rejected message is read on
     private static final int DISCARD = 64 * 1024 * 1024;    // and how much of it
@@ -39,6 +40,7 @@
     private final long acceptedAt;
     private long messageSince;
     private long since;                 // its last change of state
+    private long waits = NEVER;         // since when an answer is being written that may wait for its peer
 
     DownstreamConnection(HttpFront front, Link link, Visitor.Door door) {
         this.front = front;
@@ -222,6 +224,7 @@
      */
     boolean reply(ByteBuffer head, ByteBuffer body, boolean keep) {
         boolean surely;
+        boolean mayWait;
         synchronized (this) {
             if (closed) {
                 return false;
@@ -231,9 +234,10 @@
             since = front.loop.now();
             answered += head.remaining() + body.remaining();
             // A client that sends its next request when it has the answer to the last reads; one that does not wait may not.
-            surely = answered <= SURE || !pipelined && !front.loop.onOwnThread();
+            mayWait = answered > SURE;
+            surely = !mayWait || !pipelined && !front.loop.onOwnThread();
         }
-        Runnable write = () -> write(head, body, keep);
+        Runnable write = () -> write(head, body, keep, mayWait);
         if (surely) {
             front.loop.after(write);
         } else if (!front.writers.offer(write)) {
@@ -242,8 +246,13 @@
         return true;
     }
 
-    private void write(ByteBuffer head, ByteBuffer body, boolean keep) {
+    private void write(ByteBuffer head, ByteBuffer body, boolean keep, boolean mayWait) {
         try {
+            if (mayWait) {
+                synchronized (this) {
+                    waits = front.loop.now();       // not before: what this node is late with is not its peer's fault
+                }
+            }
             link.write(head, body);
             if (!keep) {
                 link.leave();
@@ -252,6 +261,7 @@
             }
             synchronized (this) {
                 writing = false;
+                waits = NEVER;
                 since = front.loop.now();
                 spareBetween();
                 notifyAll();
@@ -288,12 +298,11 @@
         return true;
     }
 
-    /** Closes it if a message has been under way since before the one moment, or a write since before the other. */
+    /** Closes it if a message has been under way since before the one moment, or a write that may wait since before the other. */
     void closeIfStalled(long messageBefore, long writeBefore) {
         boolean stalled;
         synchronized (this) {
-            stalled = midway && messageSince < messageBefore || writing && since < writeBefore
-                || !used && acceptedAt < messageBefore;
+            stalled = midway && messageSince < messageBefore || waits < writeBefore || !used && acceptedAt < messageBefore;
         }
         if (stalled && (used() || !link.unread())) {
             close();
