Send what a TLS machine says by one method, and drop a reader that nothing calls

Cause: a reread found the same locking three times in SecureLink, plain links made at two doors, an end of our identity reckoned twice, and Hocon.entries without a caller.

Change: SecureLink.send, Visitor.Door.link as the default, ownLapsed asked by holds; the reader is gone. Behaviour stays.

--- a/src/main/java/olivechute/config/Hocon.java
+++ b/src/main/java/olivechute/config/Hocon.java
@@ -15,7 +15,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.function.Function;
@@ -192,14 +191,6 @@
         return nodes;
     }
 
-    /** The keys of an object that names its members itself, with the text of each. */
-    Map<String, String> entries(String name) {
-        Hocon node = node(name);
-        Map<String, String> entries = new java.util.TreeMap<>();
-        node.object.keySet().forEach(key -> entries.put(key, node.text(key, "")));
-        return entries;
-    }
-
     /** All keys have been asked for: whatever else is there is none. */
     void close() {
         for (String name : new TreeSet<>(object.keySet())) {
--- a/src/main/java/olivechute/downstream/Visitor.java
+++ b/src/main/java/olivechute/downstream/Visitor.java
@@ -33,19 +33,16 @@
     interface Door {
         /** Whoever comes, in plain TCP. */
         Door OPEN = new Door() {
-            @Override
-            public Link link(SocketChannel accepted) {
-                return new Link(accepted);
-            }
-
             @Override
             public Visitor visitor(Link link) {
                 return ANYBODY;
             }
         };
 
-        /** What is spoken on an accepted connection. */
-        Link link(SocketChannel accepted);
+        /** What is spoken on an accepted connection; plain TCP if nothing else is said. */
+        default Link link(SocketChannel accepted) {
+            return new Link(accepted);
+        }
 
         /** Who that is, once the link is ready; an {@link IOException} says why nobody who may come in. */
         Visitor visitor(Link link) throws IOException;
--- a/src/main/java/olivechute/secure/Identities.java
+++ b/src/main/java/olivechute/secure/Identities.java
@@ -85,8 +85,8 @@
     }
 
     /**
-     * Says in time that an identity runs out: once when a third of its time with us is left, once when it is over. True when it says so. For one
-     * thread.
+     * Says in time that an identity runs out: once when a third of its time with us is left, once when it is over. True when it says so.
+     * For one thread.
      */
     boolean watch() {
         Own held = own;
--- a/src/main/java/olivechute/secure/SecureLink.java
+++ b/src/main/java/olivechute/secure/SecureLink.java
@@ -32,6 +32,10 @@
         void check(X509Svid peer) throws IOException;
     }
 
+    private interface Said {
+        void by() throws TlsException;
+    }
+
     private final Identities identities;
     private final Identities.Own own;
     private final TlsMachine machine;
@@ -146,19 +150,29 @@
             speaks = machine.hasToSend();
         }
         if (speaks) {
-            synchronized (writing) {
-                ByteBuffer out;
-                synchronized (machine) {
-                    out = machine.toSend();
-                }
-                super.write(out);
-            }
+            send(() -> { });
         }
         if (fault != null) {
             throw new IOException(fault.getMessage());
         }
     }
 
+    /** Has the machine say something, and sends it behind all that was to be sent before. */
+    private void send(Said said) throws IOException {
+        synchronized (writing) {
+            ByteBuffer out;
+            synchronized (machine) {
+                try {
+                    said.by();
+                } catch (TlsException e) {
+                    throw new IOException(e.getMessage());
+                }
+                out = machine.toSend();
+            }
+            super.write(out);
+        }
+    }
+
     /** Who the peer is; to be asked once the handshake is over. */
     X509Svid peer() {
         return machine.peer();
@@ -180,7 +194,7 @@
             return true;                    // its handshake is under way, and has its own time
         }
         Instant now = identities.now();
-        if (lapsed || now.isAfter(machine.peer().notAfter()) || now.isAfter(own.identity().svid().notAfter())) {
+        if (lapsed || ownLapsed() || now.isAfter(machine.peer().notAfter())) {
             return false;
         }
         SvidKeeper.State state = identities.state();
@@ -219,18 +233,7 @@
 
     @Override
     public void write(ByteBuffer bytes) throws IOException {
-        synchronized (writing) {
-            ByteBuffer out;
-            synchronized (machine) {
-                try {
-                    machine.send(bytes);
-                } catch (TlsException e) {
-                    throw new IOException(e.getMessage());
-                }
-                out = machine.toSend();
-            }
-            super.write(out);
-        }
+        send(() -> machine.send(bytes));
     }
 
     @Override
@@ -252,14 +255,7 @@
 
     @Override
     public void leave() throws IOException {
-        synchronized (writing) {
-            ByteBuffer out;
-            synchronized (machine) {
-                machine.finish();
-                out = machine.toSend();
-            }
-            super.write(out);
-        }
+        send(machine::finish);
     }
 
     @Override
--- a/src/main/java/olivechute/secure/Secured.java
+++ b/src/main/java/olivechute/secure/Secured.java
@@ -183,11 +183,6 @@
 
     /** Behind a proxy of our own that ends TLS: whoever comes shows a token with each job, and no host can be told from another. */
     private final class PlainDoor implements Visitor.Door, Visitor {
-        @Override
-        public Link link(SocketChannel accepted) {
-            return new Link(accepted);
-        }
-
         @Override
         public Visitor visitor(Link link) {
             return this;
