Never wait for a poster that is stopped halfway through handing in to the event loop

Checked and ruled out: every loop of the node's own that could turn without a wait (accept, Link.write, the wheel's advance and idle, Turn, pump and release of the module: each takes something away or parks); SynchronousQueue of JDK 17 yields once and parks.

At fault: EventLoop.next(), `queue.poll()`. JCTools' MPSC queue spins in poll() while a producer has taken its place and not filled it. A producer can be stopped between the two, at the latest by a collection's safepoint; where one thread runs at a time the spinner is never stopped for it.

Change: relaxedPoll(), which says that nothing is there yet. Nothing is left behind: the poster calls for the turn when it has filled its place, and then all behind it is seen as well. The model checker's test (TurnTest) runs on relaxedPoll() now, EventLoopTest claims a place by hand and fails with poll().

--- a/src/main/java/olivechute/core/EventLoop.java
+++ b/src/main/java/olivechute/core/EventLoop.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Queue;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import org.jctools.queues.atomic.MpscAtomicArrayQueue;
@@ -22,7 +21,7 @@
     private static final int SHARE = 4;
     private static final long FULL_NANOS = 200_000;
 
-    private final Queue<Event> queue = new MpscAtomicArrayQueue<>(QUEUE);
+    final MpscAtomicArrayQueue<Event> queue = new MpscAtomicArrayQueue<>(QUEUE);
     private final Turn turn = new Turn();
     private final ArrayDeque<Event> own = new ArrayDeque<>();    // posted by who holds the turn, which must never wait
     private final List<Runnable> after = new ArrayList<>();      // for when the turn is over
@@ -143,9 +142,13 @@
         }
     }
 
+    /**
+     * The next event that is there. A poster stopped between taking its place in the queue and filling it is not waited for:
+     * {@code poll} would spin until it has, and where one thread runs at a time it never does. It calls once it has.
+     */
     private Event next() {
         Event event = own.poll();
-        return event == null ? queue.poll() : event;
+        return event == null ? queue.relaxedPoll() : event;
     }
 
     private void handle(Event event) {
--- /dev/null
+++ b/src/test/java/olivechute/core/EventLoopTest.java
@@ -0,0 +1,57 @@
+package olivechute.core;
+
+import static org.testng.Assert.assertEquals;
+
+import java.lang.reflect.Field;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReferenceArray;
+import org.testng.annotations.Test;
+
+/** What posters and the loop do to each other. */
+public class EventLoopTest {
+    /**
+     * A poster that is stopped in the middle of handing in: its place in the queue is taken and still empty. Guards against a
+     * holder of the turn that spins until the place is filled. Where one thread runs at a time it spun for good.
+     */
+    @Test(timeOut = 20_000)
+    public void aPosterStoppedHalfwayHoldsNobodyUp() throws Exception {
+        EventLoop loop = new EventLoop();
+        List<String> handled = new CopyOnWriteArrayList<>();
+        loop.start(event -> { });
+        long place = (long) producerIndex(loop).get(loop.queue);
+        producerIndex(loop).set(loop.queue, place + 1);
+        loop.post(new Event.Task(() -> handled.add("behind it")));
+        assertEquals(handled, List.of(), "nothing overtakes");
+        slots(loop).set((int) place, new Event.Task(() -> handled.add("the stopped one's")));
+        CountDownLatch last = new CountDownLatch(1);
+        loop.post(new Event.Task(() -> {
+            handled.add("after both");
+            last.countDown();
+        }));
+        last.await();
+        assertEquals(handled, List.of("the stopped one's", "behind it", "after both"));
+    }
+
+    private static Field producerIndex(EventLoop loop) throws NoSuchFieldException {
+        return field(loop.queue.getClass(), "producerIndex");
+    }
+
+    @SuppressWarnings("unchecked")
+    private static AtomicReferenceArray<Event> slots(EventLoop loop) throws ReflectiveOperationException {
+        return (AtomicReferenceArray<Event>) field(loop.queue.getClass(), "buffer").get(loop.queue);
+    }
+
+    private static Field field(Class<?> type, String name) throws NoSuchFieldException {
+        for (Class<?> c = type; c != null; c = c.getSuperclass()) {
+            for (Field f : c.getDeclaredFields()) {
+                if (f.getName().equals(name)) {
+                    f.setAccessible(true);
+                    return f;
+                }
+            }
+        }
+        throw new NoSuchFieldException(type + "." + name);
+    }
+}
--- a/src/test/java/olivechute/core/TurnTest.java
+++ b/src/test/java/olivechute/core/TurnTest.java
@@ -2,7 +2,6 @@
 
 import static org.testng.Assert.assertEquals;
 
-import java.util.Queue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jctools.queues.atomic.MpscAtomicArrayQueue;
 import org.jetbrains.kotlinx.lincheck.LinChecker;
@@ -16,7 +15,7 @@
     /** Threads that hand in work as posters to the loop do. What they hand in is counted without any guard but the turn. */
     public static class Posters {
         private final Turn turn = new Turn();
-        private final Queue<Integer> queue = new MpscAtomicArrayQueue<>(16);
+        private final MpscAtomicArrayQueue<Integer> queue = new MpscAtomicArrayQueue<>(16);
         private final AtomicInteger inside = new AtomicInteger();
         private final AtomicInteger posted = new AtomicInteger();
         private int done;               // plain on purpose: two holders at once would lose a count
@@ -33,7 +32,7 @@
             do {
                 two |= inside.incrementAndGet() > 1;
                 calls = turn.calls();
-                for (Integer one = queue.poll(); one != null; one = queue.poll()) {
+                for (Integer one = queue.relaxedPoll(); one != null; one = queue.relaxedPoll()) {
                     done += one;
                 }
                 inside.decrementAndGet();
