Weigh a guess of two workers with a slot free in the mean that stands for workers not heard

The fleet was at 60 to 68 % of its capacity.

Checked and ruled out: workers resting, slow, barred or cold (columns down, slow, ban, cold: 0 to 3.3 in the mean), jobs awaited (aw: under 1).

At fault: Decide.judge, `meanReported = sum / fresh`. A node with 7 jobs a second hears of few of 60 to 150 workers in 2.5 s, and one or two zeros stood for all the others; nothing was sent then, so nothing was heard. Change: the mean holds two workers with one slot free beside those heard, so two zeros are no proof and ten are.

--- a/src/main/java/olivechute/decision/Decide.java
+++ b/src/main/java/olivechute/decision/Decide.java
@@ -26,6 +26,7 @@
     static final int HIST = 8;
     static final long REPORT_LAG = 500_000;        // a report shows a worker as it was about this long ago
     static final long REPORT_FRESH = 2_500_000;    // older reports count as unheard
+    static final double HEARD_PRIOR = 2;           // workers with one free slot that weigh in their mean
     static final double USUAL_WEIGHT = 0.3;        // of the last report in what is usual at a worker
     static final long PROBE_EVERY = 600_000;       // a worker is not asked twice within this time
     static final int ASKS = 2;                     // rounds of asking for a job that knows of no room
@@ -470,9 +471,8 @@
             }
         }
         double theirs = quotas - row.tenant.quotaPerSecond();
-        double prior = PRIOR_JOBS * settings.fleetSize();
-        double part = (others + PRIOR_JOBS) / (theirs * span(now, ARRIVALS) + prior);
-        double rate = part * row.tenant.quotaPerSecond();
+        double usual = theirs * span(now, ARRIVALS) + PRIOR_JOBS * settings.fleetSize();
+        double rate = (others + PRIOR_JOBS) / usual * row.tenant.quotaPerSecond();
         row.rate = rate;
         row.tokens = Math.min(row.tokens + rate * (now - row.countedAt) / 1e6, Math.max(QUOTA_BURST, rate));
         row.countedAt = now;
@@ -620,7 +620,7 @@
                 paces.add(w.pace);
             }
         }
-        meanReported = fresh == 0 ? Double.NaN : sum / fresh;
+        meanReported = fresh == 0 ? Double.NaN : (sum + HEARD_PRIOR) / (fresh + HEARD_PRIOR);
         medianWait = median(waits, 0);
         medianErrors = median(errors, 0);
         medianPace = median(paces, 1);
@@ -746,7 +746,7 @@
     /**
      * Free slots as far as known: the report, less what was sent since it was taken, plus what has ended; it
      * fades to what is usual there. Where the fleet has room, one that long said to have none gets a job all
-     * the same: its report may be untrue, and its answer will tell.
+     * the same: its report may be untrue, and its answer will tell. Two that say so tell little of a hundred.
      */
     private double free(long now, Worker w) {
         boolean untried = w.open.isEmpty() && now - w.noRoomSince > 2 * REPORT_FRESH && meanReported >= 1;
--- a/src/test/java/olivechute/decision/DecideTest.java
+++ b/src/test/java/olivechute/decision/DecideTest.java
@@ -802,6 +802,24 @@
         assertEquals("w0", h.workerOf("again"));
     }
 
+    /**
+     * A node of a large fleet hears of few workers at a time. Guards against one or two of them without room standing for all that were
+     * not heard: nothing was sent then, so nothing was heard, and jobs were refused while most workers stood idle.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, sent", "2, sent", "10, held"})
+    void fewReportsOfNoRoomDoNotSpeakForTheWorkersNotHeard(int heard, String then) {
+        Harness h = new Harness(settings(List.of(kind("c", Effect.SAFE, Group.ALL)), TWO, Reports.WITH_ANSWERS, true, false), 1);
+        h.workers(20);
+        for (int i = 0; i < heard; i++) {
+            h.module.probed(h.now, "w" + i, true, 1, new Load(0, Double.NaN, 1, 10));
+        }
+        h.advance(200 * MS);        // a round of judging
+        h.request("next", "c", "a", 5 * S);
+        h.advance(60 * MS);         // rounds of asking, unanswered
+        assertEquals(then, h.workerOf("next") == null ? "held" : "sent");
+    }
+
     /** A report of no room may be untrue: what the worker does decides, unless the whole fleet is busy. */
     @Test
     void aWorkerThatReportsNoRoomIsTriedWhereTheFleetHasRoom() {
