Send no second copy of a job whose host could not be told that it is given up

Of 75 SILENT ends 30 were on kept connections, the first ones at each pair of node and lost host, and 45 while the dial was still under way; all but a few took 0.16 s (no 202) and 0.25 s more (the dial for the DELETE, which never came up).

Ruled out: the 45 that were never written are no copies (83 failed dials were repeated and not counted); jobs that were accepted are not repeated by the node at all. So the copies are those written to a host that vanished: HostPools.ended told the module SILENT, which allows a repeat, also where the DELETE had not reached anybody.

Changed: a DELETE without an answer ends the attempt as UNTOLD, which the module refuses at once and never repeats; the host is left alone as a whole. A DELETE whose connection breaks is said once more. Nothing is deleted where nothing was written: the attempt ends as could-not-connect, 0.25 s sooner.

In the same place: a kept connection that the host closed while the write was not back yet ended as could-not-connect, "never ran" (`stream t19 attempt 0 at s1: CONNECT_FAILED after 596 us`, with the request at the host).

--- a/src/main/java/olivechute/core/Dispatcher.java
+++ b/src/main/java/olivechute/core/Dispatcher.java
@@ -132,7 +132,7 @@
         }
         long giveUp = Math.min(e.takenAt() + e.request().left(), end);
         DispatchApi.Request r = e.request();
-        Stream stream = new Stream(id, e.payload(), e.downstream(), giveUp, classes.getOrDefault(r.requestClass(), 0), r.tenant());
+        Stream stream = new Stream(id, e.payload(), e.downstream(), now, giveUp, classes.getOrDefault(r.requestClass(), 0), r.tenant());
         streams.put(id, stream);
         stream.deadline = loop.at(giveUp - ANSWER_MARGIN, () -> deadline(stream));
         try {
@@ -224,8 +224,10 @@
         stream.acceptance.cancel();
         long now = loop.now();
         if (!quiet && StreamFields.wanted()) {
-            StreamFields.ended(stream.id, request.host(), request.attempt(), outcome.name(), now - stream.sentAt);
+            StreamFields.ended(stream.id, request.host(), request.attempt(), outcome.name(), now - stream.sentAt,
+                stream.accepted ? stream.acceptedAt - stream.sentAt : -1);
         }
+        stream.last = outcome;
         health.ended(now, request.host(), stream.requestClass, outcome, stream.accepted ? now - stream.acceptedAt : -1);
         stream.stale |= outcome == Outcome.STALE;
         module.outcome(now, stream.id, request.attempt(), outcome, now - stream.sentAt, stream.answered, load);
@@ -263,6 +265,10 @@
             entries.add(host.entry());
             listed.put(host.entry().worker(), host.entry().state());
             health.listed(host.entry().worker(), host.entry().startedAt());
+            if (!quiet && StreamFields.wanted()) {
+                Logger.debug("host {} {} in {}, a {}, started {}", host.entry().worker(), host.entry().state(), host.entry().zone(),
+                    host.entry().kind(), host.entry().startedAt());
+            }
         }
         if (list.whole()) {
             health.keepOnly(listed::containsKey);
@@ -315,7 +321,12 @@
 
     @Override
     public void refuse(String id, long retryAfter) {
-        answer(id, stream -> stream.downstream.refused(retryAfter));
+        answer(id, stream -> {
+            stream.downstream.refused(retryAfter);
+            if (!quiet && StreamFields.wanted()) {
+                StreamFields.refused(id, stream.attempts, stream.last == null ? "none" : stream.last.name(), loop.now() - stream.openedAt);
+            }
+        });
     }
 
     @Override
@@ -373,6 +384,8 @@
         final long giveUp;
         final int requestClass;         // its index
         final String tenant;            // as its client calls it, null if it does not
+        final long openedAt;
+        Outcome last;                   // of its upstream requests, null before one ended
         TimerWheel.Timer deadline;
         TimerWheel.Timer acceptance;    // of the upstream request sent last
         int attempts;
@@ -384,7 +397,8 @@
         boolean stale;                  // a kept connection broke under it
         boolean answered;
 
-        Stream(String id, Payload payload, Downstream downstream, long giveUp, int requestClass, String tenant) {
+        Stream(String id, Payload payload, Downstream downstream, long openedAt, long giveUp, int requestClass, String tenant) {
+            this.openedAt = openedAt;
             this.id = id;
             this.payload = payload;
             this.downstream = downstream;
--- a/src/main/java/olivechute/core/Upstreams.java
+++ b/src/main/java/olivechute/core/Upstreams.java
@@ -12,8 +12,9 @@
     void giveUp(UpstreamRequest request, boolean accepted);
 
     /**
-     * Gives up an upstream request whose connection fell silent, by closing that and by a word to the host, which may
-     * have accepted it all the same; it ends as reset once the host has heard that or cannot be reached.
+     * Gives up an upstream request whose connection fell silent, by closing that and, if it was written, by a word to the host, which
+     * may have accepted it all the same. It ends as could-not-connect where nothing was written, as silent once the host has answered
+     * that word, and as untold where no answer comes.
      */
     void withdraw(UpstreamRequest request);
 
--- a/src/main/java/olivechute/decision/Decide.java
+++ b/src/main/java/olivechute/decision/Decide.java
@@ -567,7 +567,7 @@
                     down(now, w, 250_000);
                 }
             }
-            case SILENT, STALE -> {             // of the connection or the class, which the advice is about
+            case SILENT, STALE, UNTOLD -> {     // of the connection or the class, which the advice is about
                 w.conns = w.open.size();
                 w.wait = w.waitLow < Double.MAX_VALUE ? w.waitLow : w.wait;
             }
@@ -1018,7 +1018,7 @@
     private void again(long now, Job job, Outcome last) {
         boolean may = job.mayHaveRun == null || job.kind.effect() != Effect.UNSAFE;
         if (!may || last == Outcome.MOOT || job.attempts.size() >= settings.limits().maxAttempts()
-            || now > job.giveUp - HOLD_MARGIN
+            || last == Outcome.UNTOLD || now > job.giveUp - HOLD_MARGIN
             || !advice.repeat(now, job.row.tenant.name(), job.norm.index, last, job.giveUp - now)) {
             answer(now, job);
         } else {
--- a/src/main/java/olivechute/decision/DispatchApi.java
+++ b/src/main/java/olivechute/decision/DispatchApi.java
@@ -25,7 +25,9 @@
      */
     public enum Outcome {
         OK(false), ERROR(false), FULL(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false), CANCELLED(false),
-        MOOT(true), SILENT(false), STALE(false);
+        MOOT(true), SILENT(false), STALE(false),
+        /** Silent, and the worker could not be told that it is given up: it may run on, and another would be a second copy. */
+        UNTOLD(false);
 
         /** True if this outcome proves that the attempt never ran. */
         public final boolean neverRan;
--- a/src/main/java/olivechute/discovery/ListWatch.java
+++ b/src/main/java/olivechute/discovery/ListWatch.java
@@ -145,6 +145,7 @@
     /** Asks for what is newer than a version, for the whole list where that is unknown. */
     private HostList call(long since, int connectMillis, int readMillis) throws IOException, HttpException {
         Socket socket = connection();
+        Logger.debug("discovery {}: asked from {}", asked, since);
         if (!socket.isConnected()) {
             socket.setTcpNoDelay(true);
             socket.connect(asked, connectMillis);
--- a/src/main/java/olivechute/log/StreamFields.java
+++ b/src/main/java/olivechute/log/StreamFields.java
@@ -12,14 +12,21 @@
         return Logger.isDebugEnabled();
     }
 
-    /** An upstream request ended; {@code took} is microseconds from its sending. */
-    public static void ended(String stream, String host, int attempt, String outcome, long took) {
+    /** An upstream request ended; {@code took} is microseconds from its sending, {@code accepted} the same to its 202, negative without one. */
+    public static void ended(String stream, String host, int attempt, String outcome, long took, long accepted) {
         ThreadContext.put("stream", stream);
         ThreadContext.put("host", host);
         ThreadContext.put("attempt", String.valueOf(attempt));
         ThreadContext.put("outcome", outcome);
         ThreadContext.put("took_us", String.valueOf(took));
-        Logger.debug("stream {} attempt {} at {}: {} after {} us", stream, attempt, host, outcome, took);
+        Logger.debug("stream {} attempt {} at {}: {} after {} us, accepted after {} us", stream, attempt, host, outcome, took, accepted);
+        ThreadContext.clear();
+    }
+
+    /** A stream was refused {@code took} microseconds after it opened; {@code last} is the outcome of its last upstream request. */
+    public static void refused(String stream, int attempts, String last, long took) {
+        ThreadContext.put("stream", stream);
+        Logger.debug("stream {} refused after {} us, {} attempts, last {}", stream, took, attempts, last);
         ThreadContext.clear();
     }
 
--- a/src/main/java/olivechute/routing/HostHealth.java
+++ b/src/main/java/olivechute/routing/HostHealth.java
@@ -141,6 +141,13 @@
                 limit.cut(now, out);
             }
             case SILENT -> silent(now, requestClass);
+            case UNTOLD -> {
+                if (!fleet.mayRest(now, this, -1)) {
+                    silent(now, requestClass);
+                } else {
+                    leaveAlone(now, "silent and not to be dialled");
+                }
+            }
             default -> { }
         }
     }
--- a/src/main/java/olivechute/upstream/HostPools.java
+++ b/src/main/java/olivechute/upstream/HostPools.java
@@ -85,7 +85,7 @@
 
     @Override
     public void send(UpstreamRequest request) {
-        exchange(request.host(), new Exchange(request, false, true, loop.now()));
+        exchange(request.host(), Exchange.of(request, loop.now()));
     }
 
     @Override
@@ -94,21 +94,22 @@
         if (!accepted && connection != null) {
             connection.abandon(request);
         } else if (accepted) {
-            exchange(request.host(), new Exchange(request, true, false, loop.now()));
+            exchange(request.host(), Exchange.cancelling(request, false, loop.now()));
         }
     }
 
     @Override
     public void withdraw(UpstreamRequest request) {
         UpstreamConnection connection = carrying.get(request.stream());
-        if (connection != null) {
-            connection.drop(request);
+        if (connection != null && connection.drop(request)) {
+            loop.post(new Event.AttemptEnded(request.stream(), request.attempt(), Outcome.CONNECT_FAILED, Load.NONE));
+            return;
         }
         HostPool pool = pools.get(request.host());
         if (pool != null) {
             pool.closeIdle(0);          // as silent as that one, for all that is known
         }
-        exchange(request.host(), new Exchange(request, true, true, loop.now()));
+        exchange(request.host(), Exchange.cancelling(request, true, loop.now()));
     }
 
     private void exchange(String host, Exchange exchange) {
@@ -200,13 +201,21 @@
     }
 
     void failed(Exchange exchange, Outcome outcome) {
-        ended(exchange, outcome, Load.NONE);
+        if (exchange.again() && outcome != Outcome.CONNECT_FAILED && loop.now() < exchange.answerBy()) {
+            loop.post(new Event.Task(() -> exchange(exchange.request().host(), exchange.last())));
+            return;
+        }
+        ended(exchange, exchange.cancels() ? Outcome.UNTOLD : outcome, Load.NONE);
+    }
+
+    /** The host answered, or {@link #failed}; the word that gives an upstream request up is heard by any answer. */
+    void answered(Exchange exchange, Outcome outcome, Load load) {
+        ended(exchange, exchange.cancels() ? Outcome.SILENT : outcome, load);
     }
 
-    void ended(Exchange exchange, Outcome outcome, Load load) {
+    private void ended(Exchange exchange, Outcome outcome, Load load) {
         if (exchange.ends()) {
-            loop.post(new Event.AttemptEnded(exchange.request().stream(), exchange.request().attempt(),
-                exchange.cancels() ? Outcome.SILENT : outcome, load));
+            loop.post(new Event.AttemptEnded(exchange.request().stream(), exchange.request().attempt(), outcome, load));
         }
     }
 
--- a/src/main/java/olivechute/upstream/UpstreamConnection.java
+++ b/src/main/java/olivechute/upstream/UpstreamConnection.java
@@ -23,6 +23,7 @@
     private volatile Link link;
     private final ResponseParser parser = new ResponseParser();
     private Exchange current;           // guarded by this, as the rest
+    private boolean writing;            // some of it may be out
     private boolean written;
     private long begunAt;
     private long idleSince;
@@ -63,6 +64,7 @@
             ended = closed;
             if (!ended) {
                 current = exchange;
+                writing = false;
                 written = false;
                 begunAt = pools.now();
                 idleFor = begunAt - idleSince;
@@ -86,12 +88,16 @@
                 if (closed || current != exchange) {
                     return;
                 }
+                writing = true;
             }
             link.write(head, exchange.body());
             synchronized (this) {
                 written |= current == exchange;
             }
         } catch (IOException e) {
+            synchronized (this) {
+                writing &= current != exchange;     // its last byte is not out, nor will be
+            }
             close(true);
         }
     }
@@ -110,7 +116,7 @@
                 answered(parser.take());
             }
         } catch (IOException e) {
-            Logger.debug("{}: {}", pool.address, e.getMessage());
+            Logger.debug("host {} at {}: {}", pool.name, pool.address, e.getMessage());
         } catch (HttpException e) {
             Logger.warn("{} answered what is no HTTP: {}", pool.address, e.getMessage());
         } finally {
@@ -130,8 +136,10 @@
             made.close();
             return false;
         }
+        long from = pools.now();
         made.connect(pool.address, pools.dialMillis());
         made.ready();
+        Logger.debug("host {} dialled in {} us", pool.name, pools.now() - from);
         return true;
     }
 
@@ -171,7 +179,7 @@
             pools.accepted(exchange);
         } else {
             boolean never = turnedAway && (response.status() == 503 || response.status() == 504);
-            pools.ended(exchange, never ? Outcome.FULL : Outcome.ERROR, pools.pressure.load(response.headers()));
+            pools.answered(exchange, never ? Outcome.FULL : Outcome.ERROR, pools.pressure.load(response.headers()));
         }
         if (!response.keepAlive()) {
             throw new IOException("closed by its last answer");
@@ -193,16 +201,19 @@
         }
     }
 
-    /** Closes it without an end of what it carries. */
-    void drop(UpstreamRequest request) {
+    /** Closes it without an end of what it carries; true if nothing of that was written, nor will be. */
+    boolean drop(UpstreamRequest request) {
+        boolean unsent;
         synchronized (this) {
             if (current == null || current.request() != request) {
-                return;
+                return false;
             }
             pools.carriesNoMore(current, this);
             current = null;
+            unsent = !writing;
         }
         close();
+        return unsent;
     }
 
     void closeIfStuck(long now) {
@@ -220,7 +231,10 @@
         close(false);
     }
 
-    /** Ends the connection, and what it carries: it never ran where its last byte was not written. */
+    /**
+     * Ends the connection, and what it carries: it never ran where its last byte was not written. Where the peer broke off under a write
+     * that is not back yet, the peer may have had all of it.
+     */
     private void close(boolean broke) {
         Exchange exchange;
         Outcome outcome;
@@ -231,7 +245,7 @@
             closed = true;
             exchange = current;
             current = null;
-            outcome = !written ? Outcome.CONNECT_FAILED : broke && idleFor >= 0 ? Outcome.STALE : Outcome.RESET;
+            outcome = !writing || !written && !broke ? Outcome.CONNECT_FAILED : broke && idleFor >= 0 ? Outcome.STALE : Outcome.RESET;
         }
         pool.remove(this);
         try {
--- a/src/test/java/olivechute/NodeTest.java
+++ b/src/test/java/olivechute/NodeTest.java
@@ -174,6 +174,33 @@
         assertTrue(silent.requests().stream().anyMatch(r -> r.method().equals("DELETE")));
     }
 
+    /** zone+vast: the word that gave a job up never reached its host, and the job went to another: two copies at once. */
+    @Test
+    public void aJobWhoseHostCannotBeToldThatItIsGivenUpGoesToNoOther() throws Exception {
+        Peer cutOff = peer(r -> null);
+        Peer host = peer(r -> {
+            Thread.sleep(100);              // until both have come: an unheard host gets one job at a time
+            return works("s2", done("ok")).to(r);
+        });
+        start(entry("s1", cutOff, "active", 0), entry("s2", host, "active", 0));
+        List<Client> clients = List.of(client().send(Client.job("sign", "t0", 5000)), client().send(Client.job("sign", "t1", 5000)));
+        List<HttpResponse> answers = new ArrayList<>();
+        for (Client c : clients) {
+            answers.add(c.receive());
+        }
+        assertEquals(ids(cutOff).size(), 1);
+        HttpResponse given = answers.get(ids(cutOff).get(0).equals("t0") ? 0 : 1);
+        assertEquals(given.status(), 503);
+        assertTrue(Double.parseDouble(given.headers().get("Retry-After")) > 0);
+        assertEquals(text(answers.get(given == answers.get(0) ? 1 : 0)), "200 ok");
+        assertEquals(ids(host).size(), 1);
+    }
+
+    private static List<String> ids(Peer host) {
+        return new ArrayList<>(host.requests().stream().filter(r -> r.method().equals("POST")).map(r -> r.headers().get("X-Txn"))
+            .distinct().toList());
+    }
+
     /** wide: hosts took every job of one class and none of another, and were tried with both again and again. */
     @Test
     public void aClassThatAHostLeavesUnacceptedGoesElsewhere() throws Exception {
--- a/src/test/java/olivechute/decision/DecideTest.java
+++ b/src/test/java/olivechute/decision/DecideTest.java
@@ -618,6 +618,18 @@
         assertEquals(2, h.seen.get("r").workers.size());
     }
 
+    /** zone+vast: a job may run on at a worker that could not be told; another attempt of it would be a second copy. */
+    @Test
+    void aJobThatMayRunOnUntoldIsRefusedAtOnce() {
+        Harness h = plain(Effect.SAFE, Group.ALL);
+        h.workers(2);
+        h.request("r", "c", "a", 5 * S);
+        h.advance(100 * MS);
+        h.outcome("r", Outcome.UNTOLD);
+        assertEquals(1, h.seen.get("r").workers.size());
+        assertEquals("refused", h.seen.get("r").answer);
+    }
+
     /** silent+leave: slow kinds stood idle with four to seven free slots while jobs were refused. */
     @ParameterizedTest
     @CsvSource({"100,w2", "5,"})
