Count across the logs of a fleet what its nodes do together

`java -jar target/olivechute.jar count FOLDER` reads one NODE.log each, written with OLIVECHUTE_LOG_LEVEL=debug, and counts calls to discovery in the worst tenth of a second, dials and sends to hosts that just started, refusals by what came before them, errors, silences and failed dials by pair of node and host, and jobs accepted and never heard of again.

--- a/src/main/java/olivechute/Commands.java
+++ b/src/main/java/olivechute/Commands.java
@@ -9,6 +9,7 @@
 import olivechute.config.LogForm;
 import olivechute.config.NodeConfig;
 import olivechute.cost.CostCommand;
+import olivechute.count.CountCommand;
 import olivechute.issuer.IssuerCommand;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -21,7 +22,7 @@
 /** The command line in full. {@code serve} as the platform calls it never comes here, and so loads none of it. */
 @Command(name = "olivechute", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
     subcommands = {Commands.Serve.class, Commands.Bench.class, Commands.Check.class, CostCommand.class,
-        IssuerCommand.class, IdentityCommand.class},
+        CountCommand.class, IssuerCommand.class, IdentityCommand.class},
     description = "A load balancer node that dispatches jobs to sign workers.",
     footer = "Exit status: 0 done, 1 a configuration or input that cannot be used, 2 wrong call.")
 final class Commands implements Callable<Integer> {
--- /dev/null
+++ b/src/main/java/olivechute/count/CountCommand.java
@@ -0,0 +1,54 @@
+package olivechute.count;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Counts across a fleet's logs, from the logs alone. */
+@Command(name = "count", mixinStandardHelpOptions = true,
+    description = "Counts across the logs of a fleet, one file NODE.log for each, written with OLIVECHUTE_LOG_LEVEL=debug.",
+    footer = "Exit status: 0 done, 1 no such logs, 2 wrong call.")
+public final class CountCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Parameters(paramLabel = "FOLDER", description = "Where the logs are.")
+    private Path folder;
+
+    @Override
+    public Integer call() {
+        FleetCount count = new FleetCount();
+        int files = 0;
+        try (DirectoryStream<Path> logs = Files.newDirectoryStream(folder, "*.log")) {
+            for (Path log : logs) {
+                files++;
+                read(count, log);
+            }
+        } catch (IOException e) {
+            spec.commandLine().getErr().println("FOLDER: cannot be read: " + e.getMessage());
+            return 1;
+        }
+        if (files == 0) {
+            spec.commandLine().getErr().println("FOLDER: no file NODE.log in it");
+            return 1;
+        }
+        count.report().forEach(spec.commandLine().getOut()::println);
+        return 0;
+    }
+
+    /** A log may end in the middle of a line, or of a character: what was written so far counts. */
+    private static void read(FleetCount count, Path log) throws IOException {
+        String node = log.getFileName().toString().replaceFirst("\\.log$", "");
+        try (Stream<String> lines = Files.lines(log, StandardCharsets.ISO_8859_1)) {
+            lines.map(LogLine::of).filter(line -> line != null).forEach(line -> count.add(node, line));
+        }
+    }
+}
--- a/src/test/java/olivechute/LayersTest.java
+++ b/src/test/java/olivechute/LayersTest.java
@@ -65,11 +65,11 @@
     /** What a node does not need it does not load: only the command line may name these. */
     @Test
     public void nothingThatServesKnowsTheTools() {
-        String[] tools = {in("cost"), in("issuer"), in("benchlink")};
+        String[] tools = {in("cost"), in("count"), in("issuer"), in("benchlink")};
         noClasses().that().resideOutsideOfPackages(tools).and().doNotHaveFullyQualifiedName("olivechute.Commands")
             .and().haveNameNotMatching("olivechute\\.(Commands|IdentityCommand)\\$.*").and()
             .doNotHaveFullyQualifiedName("olivechute.IdentityCommand").and().doNotHaveFullyQualifiedName("olivechute.Main")
-            .should().dependOnClassesThat().resideInAnyPackage(tools[0], tools[1], tools[2], "picocli..", "org.HdrHistogram..",
+            .should().dependOnClassesThat().resideInAnyPackage(tools[0], tools[1], tools[2], tools[3], "picocli..", "org.HdrHistogram..",
                 "org.bouncycastle..", "org.objectweb.asm..").check(CLASSES);
     }
 }
