Let the first job on a new connection wait for the handshake before it is given up

The job is still behind its handshake when the DELETE on another connection is answered, arrives later and runs beside its repeat.

At fault: Dispatcher.unaccepted gave 0.16 s to any request. The first one on a connection now has the told dial time-out more, which is what the platform lets a connection take; one that is not even written ends as before. Test: a host that takes 350 ms on a new connection.

--- a/src/main/java/olivechute/Warmup.java
+++ b/src/main/java/olivechute/Warmup.java
@@ -68,6 +68,11 @@
         sent.remove(request);
     }
 
+    @Override
+    public long handshake(UpstreamRequest request) {
+        return 0;
+    }
+
     @Override
     public void withdraw(UpstreamRequest request) {
         sent.remove(request);
--- a/src/main/java/olivechute/core/Dispatcher.java
+++ b/src/main/java/olivechute/core/Dispatcher.java
@@ -203,10 +203,17 @@
     /**
      * A host accepts a job as soon as it has it. One that does not is cut off, or its connection fell silent: what waits
      * there until the stream's deadline is neither served nor free for another host, and the module takes it for queued.
+     * The first request on a new connection may wait for its handshake as well, of which so much was {@code allowed}: given up
+     * sooner it may reach its host after the word that gives it up, and run there beside its repeat.
      */
-    private void unaccepted(Stream stream, UpstreamRequest request) {
+    private void unaccepted(Stream stream, UpstreamRequest request, long allowed) {
         if (stream.out == request && !stream.accepted) {
-            upstreams.withdraw(request);
+            long handshake = upstreams.handshake(request);
+            if (allowed < handshake) {
+                stream.acceptance = loop.at(loop.now() + handshake - allowed, () -> unaccepted(stream, request, handshake));
+            } else {
+                upstreams.withdraw(request);
+            }
         }
     }
 
@@ -302,7 +309,7 @@
         stream.started = false;
         health.sent(now, worker, stream.requestClass, stream.tenant, attempt == 0);
         upstreams.send(request);
-        stream.acceptance = loop.at(now + health.patience(worker), () -> unaccepted(stream, request));
+        stream.acceptance = loop.at(now + health.patience(worker), () -> unaccepted(stream, request, 0));
         if (timeout > 0 && timeout < patience) {
             loop.at(now + timeout, () -> {
                 if (stream.out == request) {
--- a/src/main/java/olivechute/core/Upstreams.java
+++ b/src/main/java/olivechute/core/Upstreams.java
@@ -11,6 +11,9 @@
     /** Gives an upstream request up: by closing its connection before it is accepted, by a word to the host after. */
     void giveUp(UpstreamRequest request, boolean accepted);
 
+    /** How long a handshake may keep an upstream request from its host, in microseconds: 0 but for the first, written, on its connection. */
+    long handshake(UpstreamRequest request);
+
     /**
      * Gives up an upstream request whose connection fell silent, by closing that and, if it was written, by a word to the host, which
      * may have accepted it all the same. It ends as could-not-connect where nothing was written, as silent once the host has answered
--- a/src/main/java/olivechute/upstream/HostPools.java
+++ b/src/main/java/olivechute/upstream/HostPools.java
@@ -98,6 +98,12 @@
         }
     }
 
+    @Override
+    public long handshake(UpstreamRequest request) {
+        UpstreamConnection connection = carrying.get(request.stream());
+        return connection != null && connection.shakesHandsFor(request) ? 1000L * dialMillis : 0;
+    }
+
     @Override
     public void withdraw(UpstreamRequest request) {
         UpstreamConnection connection = carrying.get(request.stream());
--- a/src/main/java/olivechute/upstream/UpstreamConnection.java
+++ b/src/main/java/olivechute/upstream/UpstreamConnection.java
@@ -174,6 +174,9 @@
         }
         reused(false);
         pools.carriesNoMore(exchange, this);
+        if (exchange.cancels()) {
+            Logger.debug("host {} told to give up {}: {}", pool.name, exchange.request().stream(), response.status());
+        }
         boolean turnedAway = "1".equals(response.headers().get("X-Turned-Away"));
         if (response.status() == 202 && !exchange.cancels()) {
             pools.accepted(exchange);
@@ -193,6 +196,11 @@
         }
     }
 
+    /** True if a request was written, as the first here: the host may still be at the handshake. */
+    synchronized boolean shakesHandsFor(UpstreamRequest request) {
+        return current != null && current.request() == request && writing && idleFor < 0;
+    }
+
     /** Gives up a request that is not accepted yet. */
     void abandon(UpstreamRequest request) {
         Exchange exchange = current();
--- a/src/test/java/olivechute/NodeTest.java
+++ b/src/test/java/olivechute/NodeTest.java
@@ -196,6 +196,28 @@
         assertEquals(ids(host).size(), 1);
     }
 
+    /** join+vast: the first job on a new connection was given up while its host shook hands, and ran there after all, beside its repeat. */
+    @Test
+    public void aHostMayShakeHandsBeforeItTakesTheFirstJobOfAConnection() throws Exception {
+        CountDownLatch slow = new CountDownLatch(1);
+        Peer host = peer(r -> {
+            if (r.headers().get("X-Txn").equals("last")) {
+                slow.countDown();
+                Thread.sleep(350);          // more than such a host takes on a connection that is up, less than that and a dial
+            }
+            Threads.start("news", () -> tell(r.headers().get("X-Txn"), "s1", done("ok")));
+            return MessageWriter.response(202, new byte[0], !r.headers().get("X-Txn").equals("t19"));
+        });
+        start(entry("s1", host, "active", 0));
+        Client client = client();
+        for (int i = 0; i < 20; i++) {
+            assertEquals(text(client.call(Client.job("verify", "t" + i, 5000))), "200 ok");
+        }
+        assertEquals(text(client.call(Client.job("verify", "last", 5000))), "200 ok");
+        assertEquals(slow.getCount(), 0);
+        assertEquals(host.requests().stream().filter(r -> r.method().equals("DELETE")).count(), 0);
+    }
+
     private static List<String> ids(Peer host) {
         return new ArrayList<>(host.requests().stream().filter(r -> r.method().equals("POST")).map(r -> r.headers().get("X-Txn"))
             .distinct().toList());
--- a/src/test/java/olivechute/core/DispatcherTest.java
+++ b/src/test/java/olivechute/core/DispatcherTest.java
@@ -83,6 +83,11 @@
         // nothing is under way
     }
 
+    @Override
+    public long handshake(UpstreamRequest request) {
+        return 0;
+    }
+
     @Override
     public void withdraw(UpstreamRequest request) {
         // nothing is under way
