Do not take workers that just started to be as full as all others

`hosts started: 36, sent to each in its first second 0.0 in the mean`.

Ruled out: discovery (14 nodes had each of them within 0.2 s), dials (none failed), the cold budget (0.4 jobs a second and node at the least). At fault: Decide.free took the mean of the workers heard, times the warmth, for one not heard: under load 0.6 * 0.3 is no room. One node that passes over a newcomer is harmless; where all do, nobody ever hears of it.

Changed: a worker within its ramp that was not heard counts as having one slot free, and what all nodes send it stays with the cold budget. As that binds now, its capacity is the slots seen at workers of its kind over their running time, no longer the most slots seen anywhere; a newcomer starts with the running time of its kind.

--- a/src/main/java/olivechute/decision/Book.java
+++ b/src/main/java/olivechute/decision/Book.java
@@ -72,8 +72,15 @@
         }
     }
 
+    /** Workers of one kind. */
+    static final class Kin {
+        double slots = 1;               // as many as one of them was seen to have
+        double tempo = 1;               // running time there over the class's mean
+    }
+
     /** A worker as this node knows it. */
     static final class Worker {
+        final Kin kin;
         Entry entry;
         Standing standing = Standing.GOOD;
         boolean unlisted;               // called gone or missing where that does not bind
@@ -102,7 +109,7 @@
         double window = 1;
         double pace = Double.NaN;
         double paceLow = Double.NaN;
-        double tempo = 1;               // running time there over the class's mean, over many finishes
+        double tempo;                   // running time there over the class's mean, over many finishes
         int finished;
         long cutAt;
         double errors = Double.NaN;     // part of its answers
@@ -115,7 +122,9 @@
         final int[] silent;             // by class: jobs in a row whose start was not told
         final long[] bannedUntil;
 
-        Worker(int classes) {
+        Worker(int classes, Kin kin) {
+            this.kin = kin;
+            tempo = kin.tempo;
             silent = new int[classes];
             bannedUntil = new long[classes];
         }
@@ -127,6 +136,7 @@
             reportAt = now;
             usual = smooth(usual, reported + outAtReport, Decide.USUAL_WEIGHT);
             seen = lag > 0;
+            kin.slots = Math.max(kin.slots, free + outAtReport);
             noRoomSince = free >= 0.5 ? Long.MAX_VALUE / 2 : Math.min(noRoomSince, now);
             if (freeMemory >= 0) {
                 memory = smooth(memory, freeMemory + memoryOut, Decide.USUAL_WEIGHT);
--- a/src/main/java/olivechute/decision/Decide.java
+++ b/src/main/java/olivechute/decision/Decide.java
@@ -48,6 +48,7 @@
     static final double ERROR_WEIGHT = 0.1;        // of the last answer in a worker's part of errors
     static final double ERRORS_OVER = 0.3;         // it is rested for errors at this part over its peers
     static final double TEMPO_WEIGHT = 0.05;       // of the last finish in a worker's usual running time
+    static final double KIN_WEIGHT = 0.02;         // and in that of its kind
     static final double TEMPO_PRIOR = 3;           // finishes that the guess of a usual worker weighs
     static final double OVERDUE = 1.5;             // running jobs show a slow pace by age over this
     static final double PACE_KEPT = Math.pow(0.5, HIST_STEP / 4e6);   // a bad pace fades by half in 4 s
@@ -81,6 +82,7 @@
     final Map<String, Worker> roster = new LinkedHashMap<>();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Row> rows = new LinkedHashMap<>();
+    private final Map<String, Kin> kinds = new LinkedHashMap<>();
     private Row[] all = {};                        // these rows, in their order: looked through at each event
     private final Shares shares = new Shares(START_COUNT, BAND, AVERAGE_FLOOR);
     private double virtualTime;
@@ -304,7 +306,7 @@
             }
             named.put(e.worker(), e);
             if (w == null) {
-                w = new Worker(norms.size());
+                w = new Worker(norms.size(), kinds.computeIfAbsent(String.valueOf(e.kind()), k -> new Kin()));
                 w.rank = random.nextDouble();
                 w.home = e.zone() == null || e.zone().equals(settings.zone());
                 roster.put(e.worker(), w);
@@ -443,14 +445,8 @@
     }
 
     private Row row(String tenant) {
-        if (settings.tenants().isEmpty()) {
-            return rows.get("");
-        }
-        Row row = rows.get(tenant == null ? "" : tenant);
-        if (row == null) {                       // unlisted tenants share one row that has no claim
-            row = rows.containsKey("") ? rows.get("") : addRow(new Tenant("", 0, 0));
-        }
-        return row;
+        Row row = rows.getOrDefault(tenant == null ? "" : tenant, rows.get(""));
+        return row == null ? addRow(new Tenant("", 0, 0)) : row;    // unlisted ones share it, without a claim
     }
 
     /**
@@ -530,6 +526,7 @@
                 double relative = run / norm.mean();
                 w.pace = smooth(w.pace, relative, 0.25);
                 w.tempo += Math.max(TEMPO_WEIGHT, 1.0 / (TEMPO_PRIOR + w.finished++)) * (relative - w.tempo);
+                w.kin.tempo += KIN_WEIGHT * (relative - w.kin.tempo);
                 double finish = (now - a.sentAt) / norm.mean();
                 w.paceLow = Double.isNaN(w.paceLow) ? w.pace : Math.min(w.paceLow * 1.005, w.pace);
                 if (Math.max(w.pace, 0.75 * w.pace + 0.25 * finish) > 2 * w.paceLow) {
@@ -747,11 +744,12 @@
      * Free slots as far as known: the report, less what was sent since it was taken, plus what has ended; it
      * fades to what is usual there. Where the fleet has room, one that long said to have none gets a job all
      * the same: its report may be untrue, and its answer will tell. Two that say so tell little of a hundred.
+     * One that just started is not as full as the others: nobody has sent to it, and what all may is bounded.
      */
     private double free(long now, Worker w) {
         boolean untried = w.open.isEmpty() && now - w.noRoomSince > 2 * REPORT_FRESH && meanReported >= 1;
         if (untried || now - w.reportAt > REPORT_FRESH) {
-            return meanReported * w.warmth(now, settings.rules()) - w.slotsOut;
+            return (w.warmth(now, settings.rules()) < 1 ? 1 : meanReported) - w.slotsOut;
         }
         double fresh = Math.exp(-(now - w.reportAt + (w.seen ? REPORT_LAG : 0)) / meanRun);
         return fresh * (w.reported + w.outAtReport) + (1 - fresh) * w.usual - w.slotsOut;
@@ -774,7 +772,7 @@
             w.coldWork = 0;
         }
         double work = job.slots * work(job);
-        double budget = r.fallMultiple() * warmth * slotsSeen * r.overloadFor();
+        double budget = r.fallMultiple() * warmth * w.kin.slots / w.tempo * r.overloadFor();
         double root = Math.sqrt(COLD_SIGMAS * COLD_SIGMAS / 4 + budget / work) - COLD_SIGMAS / 2;
         double nodes = settings.fleetSize() * Math.min(1, reach() / (w.home ? home : away).size());
         double part = root * root / Math.max(1, nodes);
--- a/src/test/java/olivechute/decision/SharesTest.java
+++ b/src/test/java/olivechute/decision/SharesTest.java
@@ -25,7 +25,7 @@
             shares.add(row);
         }
         for (int i = 0; i < workerCount; i++) {
-            Book.Worker w = new Book.Worker(0);
+            Book.Worker w = new Book.Worker(0, new Book.Kin());
             w.entry = new Entry("w" + i, "z", "k", 0, State.ACTIVE, 1, 0);
             workers.add(w);
         }
@@ -129,7 +129,7 @@
         Decide.Shares shares = shares(3, 0, 1, 0.2, 0.8);
         use(8, 2);
         shares.interval();
-        Book.Worker w = new Book.Worker(0);
+        Book.Worker w = new Book.Worker(0, new Book.Kin());
         w.entry = new Entry("new", "z", "k", 0, State.ACTIVE, 1, 0);
         workers.add(w);
         shares.members(workers);
