Test a fleet of nodes in virtual time: lists replaced, a zone gone, quiet and busy nodes, discovery back

Need: the hard cases of the growing fleet had no test of their own.

A host that cannot be told of a withdrawal has a test in FleetHealthTest.

--- /dev/null
+++ b/src/test/java/olivechute/decision/FleetCasesTest.java
@@ -0,0 +1,231 @@
+package olivechute.decision;
+
+import static olivechute.decision.DispatchApi.*;
+import static olivechute.decision.Harness.MS;
+import static olivechute.decision.Harness.S;
+import static olivechute.decision.Harness.entry;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/** Many nodes at once before the same few workers, in virtual time: what reaches a shared party from all of them together. */
+class FleetCasesTest {
+    private static final long SEED = 20261201;
+    private static final long STEP = 10 * MS;
+    private static final long RUN = 200 * MS;
+    private static final int SLOTS = 4;
+
+    private record Sent(Harness node, String job, int attempt) { }
+
+    /** A worker with four slots and a queue; {@code dead} takes no connection, and one that is up again has lost what it had. */
+    private static final class Model {
+        final Deque<Sent> queue = new ArrayDeque<>();
+        final Map<Sent, Long> running = new LinkedHashMap<>();      // until when
+        final List<Long> got = new ArrayList<>();
+        boolean dead;
+    }
+
+    private final List<Harness> nodes = new ArrayList<>();
+    private final Map<String, Model> workers = new TreeMap<>();
+    private final SplittableRandom random = new SplittableRandom(SEED);
+    private final Map<Harness, Double> rates = new LinkedHashMap<>();   // jobs a second
+    private long now;
+
+    private void fleet(int size, double rate, int at) {
+        RequestClass c = new RequestClass("c", 5 * S, 150 * MS, 2, 1, 0, Effect.SAFE, Group.ALL, 2 * S, null, 0);
+        Settings s = Harness.settings(List.of(c), List.of(), Reports.WITH_ANSWERS, true, false);
+        Limits l = s.limits();
+        Settings fleet = new Settings(s.classes(), s.tenants(), s.zone(), size, s.rules(),
+            new Limits(false, l.cancel(), l.parallelTries(), l.retryAfter(), l.maxAttempts(), l.maxRetryAfter(), l.connIdle()),
+            s.reports(), s.tellsStart(), s.mustAsk(), s.overShareWorth(), s.prices(), s.tail(), s.marksRepeats());
+        Entry[] entries = new Entry[at];
+        for (int w = 0; w < at; w++) {
+            workers.put("w" + w, new Model());
+            entries[w] = entry("w" + w, 0, State.ACTIVE, 0);
+        }
+        for (int n = 0; n < size; n++) {
+            Harness h = new Harness(fleet, SEED + n);
+            h.list(ListKind.FULL, entries);
+            nodes.add(h);
+            rates.put(h, rate);
+        }
+    }
+
+    private void list(Entry... changed) {
+        for (Entry e : changed) {
+            workers.computeIfAbsent(e.worker(), w -> new Model());
+        }
+        nodes.forEach(h -> h.list(ListKind.DELTA, changed));
+    }
+
+    private void runUntil(long end) {
+        while (now < end) {
+            now += STEP;
+            for (Harness h : nodes) {
+                h.advance(now - h.now);
+                if (random.nextDouble() < rates.get(h) * STEP / 1e6) {
+                    h.request("r" + h.seen.size(), "c", "a", 5 * S);
+                }
+                carry(h);
+            }
+            workers.values().forEach(this::work);
+        }
+    }
+
+    /** Hands what a node has just sent to its workers. */
+    private void carry(Harness h) {
+        for (Harness.Seen s : h.seen.values()) {
+            int n = s.outcomes.size() - 1;
+            if (n < 0 || s.outcomes.get(n) != null) {
+                continue;
+            }
+            Model m = workers.get(s.workers.get(n));
+            Sent sent = new Sent(h, s.request.id(), n);
+            if (m.dead && !m.running.containsKey(sent) && !m.queue.contains(sent)) {
+                if (now >= s.sentAt.get(n) + 250 * MS) {
+                    h.outcome(s.request.id(), n, Outcome.CONNECT_FAILED, Load.NONE);
+                }
+            } else if (!m.running.containsKey(sent) && !m.queue.contains(sent)) {
+                m.queue.add(sent);
+                m.got.add(now);
+            }
+        }
+    }
+
+    private void work(Model m) {
+        if (m.dead) {
+            return;
+        }
+        for (Map.Entry<Sent, Long> e : new ArrayList<>(m.running.entrySet())) {
+            if (e.getValue() <= now) {
+                m.running.remove(e.getKey());
+                Harness h = e.getKey().node();
+                if (h.seen.get(e.getKey().job()).outcomes.get(e.getKey().attempt()) == null) {
+                    h.outcome(e.getKey().job(), e.getKey().attempt(), Outcome.OK,
+                        new Load(Math.max(0, SLOTS - m.running.size() - m.queue.size()), Double.NaN, 0.5, 10));
+                }
+            }
+        }
+        while (m.running.size() < SLOTS && !m.queue.isEmpty()) {
+            Sent next = m.queue.poll();
+            m.running.put(next, now + RUN);
+            next.node().module.note(now, next.job(), next.attempt(), Note.STARTED, 0);
+        }
+    }
+
+    private int answered(String how) {
+        return (int) nodes.stream().flatMap(h -> h.seen.values().stream()).filter(s -> how.equals(s.answer)).count();
+    }
+
+    private int jobs() {
+        return nodes.stream().mapToInt(h -> h.seen.size()).sum();
+    }
+
+    private static int most(List<Long> times, long window) {
+        int most = 0;
+        for (long from : times) {
+            most = Math.max(most, (int) times.stream().filter(t -> t >= from && t < from + window).count());
+        }
+        return most;
+    }
+
+    /** join: six in ten replaced within 7 s; none of those that came may stand idle, nor get more at once than it bears. */
+    @Test
+    void aListReplacedNearlyWholeLeavesNoNewcomerIdleAndPushesNoneOver() {
+        fleet(20, 7, 10);                                      // 70 % of what ten workers bear
+        runUntil(3 * S);
+        for (int i = 0; i < 6; i++) {
+            list(entry("new" + i, 0, State.ACTIVE, now), entry("w" + i, 0, State.DRAINING, 0));
+            runUntil(3 * S + (i + 1) * 1100 * MS);
+        }
+        long replaced = now;
+        runUntil(replaced + 3 * S);
+        for (int i = 0; i < 6; i++) {
+            List<Long> got = workers.get("new" + i).got;
+            long since = 3 * S + i * 1100 * MS;
+            assertTrue(!got.isEmpty() && got.get(0) < since + 2 * S, "new" + i + " idle, seed " + SEED);
+            List<Long> early = got.stream().filter(t -> t < since + 2 * S).toList();
+            assertTrue(most(early, S) * RUN <= 3 * 0.28 * SLOTS * S, most(early, S) + " at new" + i + " in a second, seed " + SEED);
+        }
+        runUntil(now + 6 * S);
+        assertTrue(answered("served") > 0.75 * jobs(), answered("served") + " of " + jobs() + ", seed " + SEED);
+    }
+
+    /** zone: three in ten vanish for 5 s; what all nodes lose by trying them is bounded, and they are used again. */
+    @Test
+    void aZoneThatVanishesIsTriedSeldomAndUsedAgain() {
+        fleet(20, 5, 10);
+        runUntil(3 * S);
+        for (int w = 0; w < 3; w++) {
+            workers.get("w" + w).dead = true;
+        }
+        runUntil(8 * S);
+        long failed = nodes.stream().flatMap(h -> h.seen.values().stream()).flatMap(s -> s.outcomes.stream())
+            .filter(o -> o == Outcome.CONNECT_FAILED).count();
+        // 30 of some 500 jobs; without the rests after a failed dial there are 48.
+        assertTrue(failed <= 40, failed + " failed dials, seed " + SEED);
+        for (int w = 0; w < 3; w++) {
+            Model m = workers.get("w" + w);
+            m.dead = false;
+            m.queue.clear();
+            m.running.clear();
+            list(entry("w" + w, 0, State.ACTIVE, now));
+            m.got.clear();
+        }
+        long back = now;
+        runUntil(back + 3 * S);
+        for (int w = 0; w < 3; w++) {
+            List<Long> got = workers.get("w" + w).got;
+            assertTrue(!got.isEmpty(), "w" + w + " idle, seed " + SEED);
+            assertTrue(most(got, S) * RUN <= 3 * 0.33 * SLOTS * S, most(got, S) + " at w" + w + " in a second, seed " + SEED);
+        }
+    }
+
+    /** A node that sees a job in ten seconds knows next to nothing; it serves each, and one with ten times the mean does too. */
+    @Test
+    void aNodeWithNextToNoTrafficAndOneWithMuchAreServed() {
+        fleet(10, 5, 10);
+        rates.put(nodes.get(0), 0.1);
+        rates.put(nodes.get(1), 50.0);
+        runUntil(40 * S);
+        List<Harness.Seen> few = nodes.get(0).seen.values().stream().filter(s -> s.arrived < now - 5 * S).toList();
+        assertTrue(few.size() >= 2, few.size() + " jobs, seed " + SEED);
+        assertTrue(few.stream().allMatch(s -> "served".equals(s.answer)), "seed " + SEED);
+        long many = nodes.get(1).seen.values().stream().filter(s -> "served".equals(s.answer)).count();
+        assertTrue(many > 0.9 * nodes.get(1).seen.size(), many + " of " + nodes.get(1).seen.size() + ", seed " + SEED);
+    }
+
+    /** A discovery that refused all of a hundred nodes for three seconds and comes back is not asked by all of them at once. */
+    @Test
+    void aHundredCallersComeBackToDiscoverySpread() {
+        List<Long> calls = new ArrayList<>();
+        long slowest = 0;
+        for (int n = 0; n < 100; n++) {
+            Harness h = new Harness(Harness.settings(List.of(Harness.kind("c", Effect.SAFE, Group.ALL)), List.of(), Reports.NONE, false,
+                false), SEED + n);
+            int asked = 0;
+            while (h.now < 10 * S) {
+                if (h.watches > asked) {
+                    asked = h.watches;
+                    if (h.now >= 3 * S) {
+                        break;
+                    }
+                    h.list(ListKind.FAILED);
+                }
+                h.advance(STEP);
+            }
+            calls.add(h.now);
+            slowest = Math.max(slowest, h.now);
+        }
+        assertTrue(most(calls, 100 * MS) <= 20, most(calls, 100 * MS) + " calls in a tenth of a second, seed " + SEED);
+        assertTrue(slowest <= 3 * S + 4 * S, "the last one after " + slowest + " us, seed " + SEED);
+    }
+}
--- a/src/test/java/olivechute/routing/FleetHealthTest.java
+++ b/src/test/java/olivechute/routing/FleetHealthTest.java
@@ -73,6 +73,18 @@
         assertTrue(told("s0").contains("class 1 alone for 1000 ms"), told("s0"));
     }
 
+    /** zone+vast: a host that is silent and cannot be dialled is gone for all classes, and one such end says it. */
+    @Test
+    public void aHostThatCannotBeToldOfAWithdrawalIsLeftAloneWithAllClasses() {
+        accepted("s0", 0);
+        ends("s0", 0, Outcome.UNTOLD);
+        assertFalse(takes("s0", 0));
+        assertFalse(takes("s0", 1));
+        assertTrue(told("s0").contains("silent and not to be dialled"), told("s0"));
+        now += 1 * S;
+        assertTrue(takes("s0", 1));
+    }
+
     @Test
     public void aDoubtedClassIsTriedByOneOrdinaryRequestAtATime() {
         ends("s0", 1, Outcome.SILENT);
