--- a/src/test/java/olivechute/decision/FleetCasesTest.java
+++ b/src/test/java/olivechute/decision/FleetCasesTest.java
@@ -25,12 +25,17 @@
 
     private record Sent(Harness node, String job, int attempt) { }
 
-    /** A worker with four slots and a queue; {@code dead} takes no connection, and one that is up again has lost what it had. */
+    /**
+     * A worker with four slots and a queue; {@code dead} takes no connection, and one that is up again has lost what it had; {@code shut}
+     * refuses each at once, as one whose table of connections is full; {@code bad} answers each job as failed.
+     */
     private static final class Model {
         final Deque<Sent> queue = new ArrayDeque<>();
         final Map<Sent, Long> running = new LinkedHashMap<>();      // until when
         final List<Long> got = new ArrayList<>();
         boolean dead;
+        boolean shut;
+        boolean bad;
     }
 
     private final List<Harness> nodes = new ArrayList<>();
@@ -38,27 +43,36 @@
     private final SplittableRandom random = new SplittableRandom(SEED);
     private final Map<Harness, Double> rates = new LinkedHashMap<>();   // jobs a second
     private long now;
+    private Settings settings;
+    private Entry[] known;
 
     private void fleet(int size, double rate, int at) {
         RequestClass c = new RequestClass("c", 5 * S, 150 * MS, 2, 1, 0, Effect.SAFE, Group.ALL, 2 * S, null, 0);
         Settings s = Harness.settings(List.of(c), List.of(), Reports.WITH_ANSWERS, true, false);
         Limits l = s.limits();
-        Settings fleet = new Settings(s.classes(), s.tenants(), s.zone(), size, s.rules(),
+        settings = new Settings(s.classes(), s.tenants(), s.zone(), size, s.rules(),
             new Limits(false, l.cancel(), l.parallelTries(), l.retryAfter(), l.maxAttempts(), l.maxRetryAfter(), l.connIdle()),
             s.reports(), s.tellsStart(), s.mustAsk(), s.overShareWorth(), s.prices(), s.tail(), s.marksRepeats());
-        Entry[] entries = new Entry[at];
+        known = new Entry[at];
         for (int w = 0; w < at; w++) {
             workers.put("w" + w, new Model());
-            entries[w] = entry("w" + w, 0, State.ACTIVE, 0);
+            known[w] = entry("w" + w, 0, State.ACTIVE, 0);
         }
         for (int n = 0; n < size; n++) {
-            Harness h = new Harness(fleet, SEED + n);
-            h.list(ListKind.FULL, entries);
-            nodes.add(h);
-            rates.put(h, rate);
+            start(n, rate);
         }
     }
 
+    /** A node that knows nothing but the list begins, beside what was sent before by the one in its place. */
+    private Harness start(long seed, double rate) {
+        Harness h = new Harness(settings, SEED + seed);
+        h.advance(now);
+        h.list(ListKind.FULL, known);
+        nodes.add(h);
+        rates.put(h, rate);
+        return h;
+    }
+
     private void list(Entry... changed) {
         for (Entry e : changed) {
             workers.computeIfAbsent(e.worker(), w -> new Model());
@@ -89,7 +103,9 @@
             }
             Model m = workers.get(s.workers.get(n));
             Sent sent = new Sent(h, s.request.id(), n);
-            if (m.dead && !m.running.containsKey(sent) && !m.queue.contains(sent)) {
+            if (m.shut || m.bad) {
+                h.outcome(s.request.id(), n, m.shut ? Outcome.CONNECT_FAILED : Outcome.ERROR, Load.NONE);
+            } else if (m.dead && !m.running.containsKey(sent) && !m.queue.contains(sent)) {
                 if (now >= s.sentAt.get(n) + 250 * MS) {
                     h.outcome(s.request.id(), n, Outcome.CONNECT_FAILED, Load.NONE);
                 }
@@ -125,6 +141,10 @@
         return (int) nodes.stream().flatMap(h -> h.seen.values().stream()).filter(s -> how.equals(s.answer)).count();
     }
 
+    private long ended(Outcome how) {
+        return nodes.stream().flatMap(h -> h.seen.values().stream()).flatMap(s -> s.outcomes.stream()).filter(o -> o == how).count();
+    }
+
     private int jobs() {
         return nodes.stream().mapToInt(h -> h.seen.size()).sum();
     }
@@ -168,8 +188,7 @@
             workers.get("w" + w).dead = true;
         }
         runUntil(8 * S);
-        long failed = nodes.stream().flatMap(h -> h.seen.values().stream()).flatMap(s -> s.outcomes.stream())
-            .filter(o -> o == Outcome.CONNECT_FAILED).count();
+        long failed = ended(Outcome.CONNECT_FAILED);
         // 30 of some 500 jobs; without the rests after a failed dial there are 48.
         assertTrue(failed <= 40, failed + " failed dials, seed " + SEED);
         for (int w = 0; w < 3; w++) {
@@ -203,6 +222,50 @@
         assertTrue(many > 0.9 * nodes.get(1).seen.size(), many + " of " + nodes.get(1).seen.size() + ", seed " + SEED);
     }
 
+    /** herd: seven in ten nodes start within a second and know nothing; together they must not bury any worker. */
+    @Test
+    void nodesThatStartTogetherBuryNoWorker() {
+        fleet(20, 7, 10);
+        runUntil(3 * S);
+        for (int n = 0; n < 14; n++) {
+            rates.put(nodes.get(n), 0.0);
+        }
+        for (int n = 0; n < 14; n++) {
+            start(100 + n, 7);
+            runUntil(now + 70 * MS);
+        }
+        long from = now;
+        int deepest = 0;
+        while (now < from + 3 * S) {
+            runUntil(now + 100 * MS);
+            deepest = Math.max(deepest, workers.values().stream().mapToInt(m -> m.queue.size()).max().orElse(0));
+        }
+        assertTrue(deepest <= 2 * SLOTS, deepest + " in one queue, seed " + SEED);
+        assertTrue(answered("served") > 0.85 * jobs(), answered("served") + " of " + jobs() + ", seed " + SEED);
+    }
+
+    /** zone: one of ten fails all it gets; a hundred nodes find out one by one, and next to no job is lost for it. */
+    @Test
+    void aBadWorkerThatEachNodeSeesSeldomCostsFewJobs() {
+        fleet(100, 1.5, 10);
+        workers.get("w0").bad = true;
+        runUntil(12 * S);
+        assertTrue(ended(Outcome.ERROR) > 20, ended(Outcome.ERROR) + " errors, seed " + SEED);
+        // 31 of 1,751 as it is, for want of room; 59 where nothing is repeated.
+        assertTrue(answered("refused") + answered("failed") <= 45, answered("refused") + " refused, seed " + SEED);
+    }
+
+    /** A worker whose table of connections is full refuses those without one at once: their jobs go elsewhere, and they come back seldom. */
+    @Test
+    void aWorkerThatTakesNoConnectionIsAskedSeldom() {
+        fleet(20, 5, 10);
+        workers.get("w0").shut = true;
+        runUntil(12 * S);
+        // 9 as it is, 14 without the rests after a failed dial.
+        assertTrue(ended(Outcome.CONNECT_FAILED) <= 12, ended(Outcome.CONNECT_FAILED) + " failed dials, seed " + SEED);
+        assertTrue(answered("served") > 0.9 * jobs(), answered("served") + " of " + jobs() + ", seed " + SEED);
+    }
+
     /** A discovery that refused all of a hundred nodes for three seconds and comes back is not asked by all of them at once. */
     @Test
     void aHundredCallersComeBackToDiscoverySpread() {
