--- a/src/main/java/olivechute/count/FleetCount.java
+++ b/src/main/java/olivechute/count/FleetCount.java
@@ -19,7 +19,7 @@
 
     private record Pair(String node, String host) { }
 
-    private record Sent(long at, String node, String host) { }
+    private record Sent(long at, String host) { }
 
     private final Set<String> nodes = new HashSet<>();
     private final Map<String, Integer> outcomes = new TreeMap<>();
@@ -29,7 +29,7 @@
     private final Map<String, TreeMap<Long, Integer>> dials = new HashMap<>();  // by host and second
     private final Map<Pair, List<LogLine.Ended>> ends = new HashMap<>();
     private final Map<String, Integer> attempts = new HashMap<>();      // by stream
-    private final Map<String, Long> coldSince = new HashMap<>();        // hosts that started in the log's time, when first told
+    private final Map<String, Long> coldSince = new HashMap<>();        // hosts that started lately, by their start, and when first told
     private final List<Sent> sent = new ArrayList<>();
     private int unheard;
 
@@ -40,7 +40,7 @@
             attempts.merge(e.stream(), 1, Integer::sum);
             unheard += e.outcome().equals("TIMEOUT") && e.accepted() >= 0 ? 1 : 0;
             ends.computeIfAbsent(new Pair(node, e.host()), p -> new ArrayList<>()).add(e);
-            sent.add(new Sent(e.sentAt(), node, e.host()));
+            sent.add(new Sent(e.sentAt(), e.host()));
         } else if (line instanceof LogLine.Refused r) {
             refusals.merge(r.last(), 1, Integer::sum);
         } else if (line instanceof LogLine.Dialled d) {
