--- a/src/main/java/olivechute/count/LogLine.java
+++ b/src/main/java/olivechute/count/LogLine.java
@@ -11,22 +11,23 @@
     long at();
 
     /** An upstream request ended; {@code accepted} is negative where the host never took it. */
-    record Ended(long at, String stream, int attempt, String host, String outcome, long took, long accepted) implements LogLine {
+    record Ended(long at, String stream, String host, String outcome, long took, long accepted) implements LogLine {
         long sentAt() {
             return at - took;
         }
     }
 
-    record Refused(long at, String stream, long took, int attempts, String last) implements LogLine { }
+    /** A stream was refused; {@code last} is the outcome of its last upstream request. */
+    record Refused(long at, String last) implements LogLine { }
 
-    record Dialled(long at, String host, long took) implements LogLine { }
+    record Dialled(long at, String host) implements LogLine { }
 
     /** A host as a list had it; {@code started} is Unix time in microseconds, 0 for long ago. */
-    record Listed(long at, String host, String state, String zone, long started) implements LogLine { }
+    record Listed(long at, String host, String state, long started) implements LogLine { }
 
     record Asked(long at) implements LogLine { }
 
-    record AskFailed(long at, String why) implements LogLine { }
+    record AskFailed(long at) implements LogLine { }
 
     /** The line's content; null for one that counts nothing. */
     static LogLine of(String line) {
@@ -38,29 +39,28 @@
             + Long.parseLong(m.group(4)) * 1000;
         String text = m.group(5);
         if ((m = Form.ENDED.matcher(text)).matches()) {
-            return new Ended(at, m.group(1), Integer.parseInt(m.group(2)), m.group(3), m.group(4), Long.parseLong(m.group(5)),
-                Long.parseLong(m.group(6)));
+            return new Ended(at, m.group(1), m.group(2), m.group(3), Long.parseLong(m.group(4)), Long.parseLong(m.group(5)));
         } else if ((m = Form.REFUSED.matcher(text)).matches()) {
-            return new Refused(at, m.group(1), Long.parseLong(m.group(2)), Integer.parseInt(m.group(3)), m.group(4));
+            return new Refused(at, m.group(1));
         } else if ((m = Form.DIALLED.matcher(text)).matches()) {
-            return new Dialled(at, m.group(1), Long.parseLong(m.group(2)));
+            return new Dialled(at, m.group(1));
         } else if ((m = Form.LISTED.matcher(text)).matches()) {
-            return new Listed(at, m.group(1), m.group(2), m.group(3), Long.parseLong(m.group(4)));
+            return new Listed(at, m.group(1), m.group(2), Long.parseLong(m.group(3)));
         } else if ((m = Form.ASKED.matcher(text)).matches()) {
             return new Asked(at);
         }
-        return (m = Form.ASK_FAILED.matcher(text)).matches() ? new AskFailed(at, m.group(1)) : null;
+        return (m = Form.ASK_FAILED.matcher(text)).matches() ? new AskFailed(at) : null;
     }
 
     /** How the lines read that {@code log.StreamFields}, {@code core.Dispatcher}, {@code upstream} and {@code discovery} write. */
     final class Form {
         static final Pattern LINE = Pattern.compile("(\\d\\d):(\\d\\d):(\\d\\d)\\.(\\d{3}) [A-Z]+ +\\w+ (.*)");
-        static final Pattern ENDED = Pattern.compile("stream (\\S+) attempt (\\d+) at (\\S+): (\\w+) after (\\d+) us, accepted after (-?\\d+) us");
-        static final Pattern REFUSED = Pattern.compile("stream (\\S+) refused after (\\d+) us, (\\d+) attempts, last (\\w+)");
-        static final Pattern DIALLED = Pattern.compile("host (\\S+) dialled in (\\d+) us");
-        static final Pattern LISTED = Pattern.compile("host (\\S+) (\\w+) in (\\S+), a \\S+, started (\\d+)");
+        static final Pattern ENDED = Pattern.compile("stream (\\S+) attempt \\d+ at (\\S+): (\\w+) after (\\d+) us, accepted after (-?\\d+) us");
+        static final Pattern REFUSED = Pattern.compile("stream \\S+ refused after \\d+ us, \\d+ attempts, last (\\w+)");
+        static final Pattern DIALLED = Pattern.compile("host (\\S+) dialled in \\d+ us");
+        static final Pattern LISTED = Pattern.compile("host (\\S+) (\\w+) in \\S+, a \\S+, started (\\d+)");
         static final Pattern ASKED = Pattern.compile("discovery \\S+: asked from -?\\d+");
-        static final Pattern ASK_FAILED = Pattern.compile("discovery \\S+: (answered \\d+|connection ended|.* timed out|Connection .*)");
+        static final Pattern ASK_FAILED = Pattern.compile("discovery \\S+: (?:answered \\d+|connection ended|.* timed out|Connection .*)");
 
         private Form() { }
     }
