Lay out what the processes of a fleet share: errors, store, rollout, messages

A change in stages needs something that processes share. This commit fixes the interfaces that its parts are built against: the sealed family of errors, the store as clients see it, the records of the rollout, the messages in protobuf, and the design note with options.

--- a/src/main/java/olivechute/Commands.java
+++ b/src/main/java/olivechute/Commands.java
@@ -11,6 +11,9 @@
 import olivechute.cost.CostCommand;
 import olivechute.count.CountCommand;
 import olivechute.issuer.IssuerCommand;
+import olivechute.lead.ChangeCommand;
+import olivechute.store.StoreCommand;
+import olivechute.supervise.SuperviseCommand;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -22,7 +25,7 @@
 /** The command line in full. {@code serve} as the platform calls it never comes here, and so loads none of it. */
 @Command(name = "olivechute", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
     subcommands = {Commands.Serve.class, Commands.Bench.class, Commands.Check.class, CostCommand.class,
-        CountCommand.class, IssuerCommand.class, IdentityCommand.class},
+        CountCommand.class, IssuerCommand.class, IdentityCommand.class, StoreCommand.class, SuperviseCommand.class, ChangeCommand.class},
     description = "A load balancer node that dispatches jobs to sign workers.",
     footer = "Exit status: 0 done, 1 a configuration or input that cannot be used, 2 wrong call.")
 final class Commands implements Callable<Integer> {
--- /dev/null
+++ b/src/main/java/olivechute/FleetLoader.java
@@ -0,0 +1,49 @@
+package olivechute;
+
+import java.io.File;
+import java.lang.reflect.InvocationTargetException;
+import java.net.MalformedURLException;
+import java.net.URISyntaxException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Runs the commands that share a store with the libraries in {@code lib} beside the jar. They are not on the jar's own path, so that a node
+ * neither opens nor indexes them. Where there is no such folder, as in tests, the command runs on the path as it is.
+ */
+final class FleetLoader {
+    static final Set<String> COMMANDS = Set.of("store", "supervise", "change");
+
+    private FleetLoader() { }
+
+    /** Runs a command line; returns the exit status. */
+    static int run(String... args) {
+        try {
+            File own = new File(FleetLoader.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            File[] libraries = new File(own.getParentFile(), "lib").listFiles((folder, name) -> name.endsWith(".jar"));
+            if (!own.isFile() || libraries == null) {
+                return Commands.run(args);
+            }
+            List<URL> path = new ArrayList<>();
+            path.add(own.toURI().toURL());
+            for (File each : libraries) {
+                path.add(each.toURI().toURL());
+            }
+            // Never closed: the command's threads load from it until the process ends.
+            URLClassLoader loader = new URLClassLoader(path.toArray(URL[]::new), ClassLoader.getPlatformClassLoader());
+            Thread.currentThread().setContextClassLoader(loader);
+            var run = loader.loadClass("olivechute.Commands").getDeclaredMethod("run", String[].class);
+            run.setAccessible(true);
+            return (int) run.invoke(null, (Object) args);
+        } catch (InvocationTargetException e) {
+            e.getCause().printStackTrace();
+            return 1;
+        } catch (ReflectiveOperationException | URISyntaxException | MalformedURLException e) {
+            System.err.println("the program's own jar cannot be read: " + e);
+            return 1;
+        }
+    }
+}
--- a/src/main/java/olivechute/Main.java
+++ b/src/main/java/olivechute/Main.java
@@ -25,7 +25,7 @@
         switch (command) {
             case "benchlink" -> System.exit(BenchLink.run(System.in, System.out, System.err));
             case "serve" -> serve(System.getenv());
-            default -> System.exit(Commands.run(args));
+            default -> System.exit(args.length > 0 && FleetLoader.COMMANDS.contains(args[0]) ? FleetLoader.run(args) : Commands.run(args));
         }
     }
 
--- /dev/null
+++ b/src/main/java/olivechute/fault/ChangeFault.java
@@ -0,0 +1,16 @@
+package olivechute.fault;
+
+/** A change, or an order about one, that cannot be followed. */
+public final class ChangeFault extends FleetFault {
+    private static final long serialVersionUID = 1;
+
+    /** {@code what}: the thing that it happened to and how, as a clause. */
+    public ChangeFault(FaultKind kind, String what) {
+        this(kind, what, null);
+    }
+
+    /** With what lies behind it. */
+    public ChangeFault(FaultKind kind, String what, Throwable cause) {
+        super(kind, what, cause);
+    }
+}
