Let each shared part read its settings through the one HOCON reader

The store, the supervisor and the lead each have a settings file; the reader that notes all faults with their keys was private to the identity settings. The store's command moves up to the commands, as it ties the store to what drives a change.

--- a/src/main/java/olivechute/Commands.java
+++ b/src/main/java/olivechute/Commands.java
@@ -12,7 +12,6 @@
 import olivechute.count.CountCommand;
 import olivechute.issuer.IssuerCommand;
 import olivechute.lead.ChangeCommand;
-import olivechute.store.StoreCommand;
 import olivechute.supervise.SuperviseCommand;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
--- a/src/main/java/olivechute/config/Hocon.java
+++ b/src/main/java/olivechute/config/Hocon.java
@@ -23,7 +23,7 @@
  * An object of the operators' settings file, with readers that note what is wrong and go on with the default, so that one look tells all
  * faults. What is read is known; {@link #close} notes every other key, and the known one nearest to it.
  */
-final class Hocon {
+public final class Hocon {
     private static final int FAR = 4;           // single letters that a name may be off to be taken for a slip
 
     private final String path;
@@ -38,7 +38,7 @@
     }
 
     /** Reads a text; what is wrong with it, and with what is read from it, goes to {@code faults}. */
-    static Hocon parse(String text, List<String> faults) {
+    public static Hocon parse(String text, List<String> faults) {
         ConfigObject root = ConfigFactory.empty().root();
         try {
             // Neither the environment nor another file or address has a part in it: what is checked is what is there.
@@ -67,7 +67,7 @@
     }
 
     /** Notes a fault of a key of this object. */
-    void wrong(String name, String text) {
+    public void wrong(String name, String text) {
         ConfigValue value = object.get(name);
         String line = value == null || value.origin().lineNumber() < 0 ? "" : " (line " + value.origin().lineNumber() + ")";
         faults.add(key(name) + ": " + text + line);
@@ -78,7 +78,7 @@
         return object.get(name);
     }
 
-    boolean has(String name) {
+    public boolean has(String name) {
         return value(name) != null;
     }
 
@@ -95,7 +95,7 @@
     }
 
     /** A text; the fallback where the key is absent or wrong. */
-    String text(String name, String otherwise) {
+    public String text(String name, String otherwise) {
         ConfigValue value = value(name);
         if (value != null && value.valueType() != ConfigValueType.STRING) {
             wrong(name, "must be text");
@@ -105,18 +105,18 @@
     }
 
     /** A text that must be there. */
-    String needed(String name) {
+    public String needed(String name) {
         if (!has(name)) {
             wrong(name, "missing, must be text");
         }
         return text(name, "");
     }
 
-    boolean flag(String name, boolean otherwise) {
+    public boolean flag(String name, boolean otherwise) {
         return read(name, otherwise, "true or false", c -> c.getBoolean(name));
     }
 
-    int integer(String name, int otherwise, int least, int most) {
+    public int integer(String name, int otherwise, int least, int most) {
         int value = read(name, otherwise, "a whole number", c -> c.getInt(name));
         if (value < least || value > most) {
             wrong(name, "must be from " + least + " to " + most);
@@ -126,7 +126,7 @@
     }
 
     /** A duration with its unit, as {@code 2s} or {@code 250ms}. */
-    Duration duration(String name, Duration otherwise, Duration least, Duration most) {
+    public Duration duration(String name, Duration otherwise, Duration least, Duration most) {
         ConfigValue value = value(name);
         if (value != null && value.valueType() != ConfigValueType.STRING) {
             wrong(name, "must be a duration with a unit, as 2s or 250ms");
@@ -141,7 +141,7 @@
     }
 
     /** One of some words, written in small letters with dashes. */
-    <E extends Enum<E>> E word(String name, E otherwise) {
+    public <E extends Enum<E>> E word(String name, E otherwise) {
         String text = text(name, word(otherwise));
         List<String> words = new ArrayList<>();
         for (E each : otherwise.getDeclaringClass().getEnumConstants()) {
@@ -158,12 +158,12 @@
         return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
-    List<String> texts(String name) {
+    public List<String> texts(String name) {
         return read(name, List.of(), "a list of texts", c -> List.copyOf(c.getStringList(name)));
     }
 
     /** What a text stands for, by a reader that blames the key itself; null where it stands for nothing. */
-    <T> T meaning(String name, Function<String, T> reader) {
+    public <T> T meaning(String name, Function<String, T> reader) {
         try {
             return reader.apply(key(name));
         } catch (IllegalArgumentException | BadValueException e) {
@@ -173,7 +173,7 @@
     }
 
     /** The object of a key, an empty one where it is absent. */
-    Hocon node(String name) {
+    public Hocon node(String name) {
         ConfigValue value = value(name);
         if (value != null && !(value instanceof ConfigObject)) {
             wrong(name, "must be an object");
@@ -182,7 +182,7 @@
     }
 
     /** The objects of a list. */
-    List<Hocon> nodes(String name) {
+    public List<Hocon> nodes(String name) {
         List<? extends ConfigObject> objects = read(name, List.of(), "a list of objects", c -> c.getObjectList(name));
         List<Hocon> nodes = new ArrayList<>();
         for (int i = 0; i < objects.size(); i++) {
@@ -192,7 +192,7 @@
     }
 
     /** All keys have been asked for: whatever else is there is none. */
-    void close() {
+    public void close() {
         for (String name : new TreeSet<>(object.keySet())) {
             if (!known.contains(name)) {
                 Optional<String> near = known.stream().min(Comparator.comparingInt(k -> distance(k, name)));
