Ask again at once, on a new connection, where a watch on discovery stays silent

ListWatch let a call wait 10 s and its answer come 2.5 s later (WAIT_MILLIS, GRACE_MILLIS), while what a silent call missed counts as told after 6 s, or 2 s after its wait. It then went through the module's 0.25 to 0.5 s of pause as after a refusal. Its poll for the whole list had the same 12.5 s against 6 s, and its read timeout began anew with each byte.

One deadline holds for the whole call. A first silence is asked again at once; a second is a failure.

--- a/src/main/java/olivechute/discovery/ListWatch.java
+++ b/src/main/java/olivechute/discovery/ListWatch.java
@@ -4,7 +4,9 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.Semaphore;
 import java.util.stream.Collectors;
 import olivechute.config.BadValueException;
@@ -20,17 +22,18 @@
 import olivechute.http.ResponseParser;
 import olivechute.net.Threads;
 import olivechute.routing.ListGuard;
+import olivechute.routing.WatchClock;
 import org.tinylog.Logger;
 
 /**
  * Watches the list, call after call on one connection, until one fails; the module then says when to go on. The next
- * call leaves as soon as an answer is read, well within the 200 ms that keep a watch alive. A move to another address ends
+ * call leaves as soon as an answer is read, well within the 200 ms that keep a watch alive. A call that stays silent past its
+ * time ({@link WatchClock}) is no failure yet: its connection may have broken with nobody to tell, so the call is made once more, at
+ * once, on a new one. A move to another address ends
  * a call that waits at the old one and asks the new one for the whole list: the two need not count versions alike.
  */
 public final class ListWatch implements Discovery {
     private static final int CONNECT_MILLIS = 1000;
-    private static final int WAIT_MILLIS = 10_000;
-    private static final int GRACE_MILLIS = 2500;           // for an answer after the wait; then discovery is silent
     private static final long PAUSE = 50_000_000;           // well within the 200 ms that keep a watch alive
     /** How long a doubtful answer may wait for a second: what is told must be kept to 500 ms after. */
     private static final int AGAIN_MILLIS = 150;
@@ -43,10 +46,13 @@
     private InetSocketAddress asked;                        // where the calls go; the watch's own thread only
     private long version;
     private final ListGuard guard = new ListGuard();
+    private final WatchClock clock;
     private Socket socket;                                  // guarded by this
 
-    public ListWatch(EventLoop loop, InetSocketAddress address, HostList known) {
+    /** {@code seed}: the node's own, which spreads its calls from those of other nodes. */
+    public ListWatch(EventLoop loop, InetSocketAddress address, HostList known, long seed) {
         this.loop = loop;
+        this.clock = new WatchClock(new SplittableRandom(seed).split()::nextDouble);
         this.address = address;
         this.asked = address;
         believe(known);
@@ -88,7 +94,7 @@
                         hangUp();
                     }
                     long before = System.nanoTime();
-                    HostList list = sure(call(version, CONNECT_MILLIS, WAIT_MILLIS + GRACE_MILLIS));
+                    HostList list = sure(ask());
                     if (list.hosts().isEmpty() && list.version() == version && System.nanoTime() - before < PAUSE) {
                         Thread.sleep(PAUSE / 1_000_000);    // a service that never waits is not to be asked without end
                     }
@@ -115,6 +121,18 @@
         }
     }
 
+    /** What is newer than the version held; asked for on a second connection where the first stays silent. */
+    private HostList ask() throws IOException, HttpException {
+        WatchClock.Call first = version == UNKNOWN ? clock.whole() : clock.watch();
+        try {
+            return call(version, first);
+        } catch (SocketTimeoutException silent) {
+            hangUp();
+            Logger.info("discovery {}: silent for {} ms, asked again", asked, first.limit());
+            return call(version, version == UNKNOWN ? clock.whole() : clock.again());
+        }
+    }
+
     /** The answer itself, or what a second one says where the first would drop most hosts at once. */
     private HostList sure(HostList first) {
         if (!first.whole() || !guard.doubtful(names(first))) {
@@ -122,7 +140,7 @@
         }
         Logger.warn("discovery {}: {} hosts where more were listed, asked again", asked, first.hosts().size());
         try {
-            return call(UNKNOWN, AGAIN_MILLIS, AGAIN_MILLIS);
+            return call(UNKNOWN, new WatchClock.Call(0, AGAIN_MILLIS));
         } catch (IOException | HttpException | BadValueException e) {
             Logger.warn("discovery {}: no second answer, the first holds: {}", asked, e.getMessage());
             hangUp();
@@ -142,19 +160,19 @@
         }
     }
 
-    /** Asks for what is newer than a version, for the whole list where that is unknown. */
-    private HostList call(long since, int connectMillis, int readMillis) throws IOException, HttpException {
+    /** Asks for what is newer than a version, for the whole list where that is unknown; all of the answer is read in the call's time. */
+    private HostList call(long since, WatchClock.Call times) throws IOException, HttpException {
+        long end = System.nanoTime() + times.limit() * 1_000_000L;
         Socket socket = connection();
         Logger.debug("discovery {}: asked from {}", asked, since);
         if (!socket.isConnected()) {
             socket.setTcpNoDelay(true);
-            socket.connect(asked, connectMillis);
+            socket.connect(asked, Math.min(CONNECT_MILLIS, times.limit()));
         }
-        socket.setSoTimeout(readMillis);
-        String query = since == UNKNOWN ? "" : "?since=" + since + "&timeout_ms=" + WAIT_MILLIS;
+        String query = since == UNKNOWN ? "" : "?since=" + since + "&timeout_ms=" + times.hold();
         String host = asked.getAddress().getHostAddress() + ":" + asked.getPort();
         socket.getOutputStream().write(MessageWriter.request("GET", "/registry/instances" + query, host, null));
-        HttpResponse response = read(socket.getInputStream());
+        HttpResponse response = read(socket, end);
         if (!response.keepAlive()) {
             hangUp();
         }
@@ -164,10 +182,17 @@
         return ListDecoder.parse(response.body());
     }
 
-    private static HttpResponse read(InputStream in) throws IOException, HttpException {
+    /** A socket's own timeout counts from the last byte: an answer that comes in drops would prolong it for ever. */
+    private static HttpResponse read(Socket socket, long end) throws IOException, HttpException {
         ResponseParser parser = new ResponseParser();
+        InputStream in = socket.getInputStream();
         byte[] buffer = new byte[8192];
         while (!parser.complete()) {
+            long left = (end - System.nanoTime()) / 1_000_000;
+            if (left <= 0) {
+                throw new SocketTimeoutException("no whole answer in time");
+            }
+            socket.setSoTimeout((int) left);
             int n = in.read(buffer);
             if (n < 0 && !parser.end()) {
                 throw new IOException("connection ended");
--- /dev/null
+++ b/src/test/java/olivechute/discovery/ListWatchTest.java
@@ -0,0 +1,262 @@
+package olivechute.discovery;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import olivechute.core.Event;
+import olivechute.core.EventLoop;
+import olivechute.core.HostList;
+import olivechute.core.UpstreamHost;
+import olivechute.decision.DispatchApi.Entry;
+import olivechute.decision.DispatchApi.State;
+import olivechute.http.HttpRequest;
+import olivechute.http.MessageWriter;
+import olivechute.http.RequestParser;
+import olivechute.net.Threads;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The watch against discoveries on loopback sockets that fall silent; {@link #PATIENCE} only ends a test that would hang. */
+public class ListWatchTest {
+    private static final long SEED = 4711;
+    private static final int PATIENCE = 20;                 // seconds
+    private static final int TOLD_MILLIS = 6000;            // the protocol's
+    private static final byte[] NEWS = answer(8, "{\"name\":\"h\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"type\":\"k\","
+        + "\"status\":\"leaving\",\"since_ms\":0}");
+    private static final byte[] NOTHING = answer(7, "");
+
+    /** A call that a discovery has got, on which of its connections, and how to answer it. */
+    private record Call(HttpRequest request, int connection, Socket socket, long at) {
+        void write(byte[] bytes) throws IOException {
+            socket.getOutputStream().write(bytes);
+        }
+
+        String target() {
+            return request.target();
+        }
+    }
+
+    /** Takes calls and hands them to the test; says nothing by itself. */
+    private final class Registry {
+        final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
+
+        Registry() throws IOException {
+            open.add(server);
+            Threads.start("registry", () -> {
+                try {
+                    for (int i = 1;; i++) {
+                        Socket socket = server.accept();
+                        int number = i;
+                        open.add(socket);
+                        Threads.start("registry-connection", () -> serve(socket, number));
+                    }
+                } catch (IOException closed) {
+                    return;
+                }
+            });
+        }
+
+        private void serve(Socket socket, int number) {
+            RequestParser parser = new RequestParser();
+            byte[] buffer = new byte[4096];
+            try {
+                for (int n = socket.getInputStream().read(buffer); n >= 0; n = socket.getInputStream().read(buffer)) {
+                    parser.feed(buffer, 0, n);
+                    if (parser.complete()) {
+                        calls.add(new Call(parser.take(), number, socket, System.nanoTime()));
+                    }
+                }
+            } catch (Exception ended) {
+                return;
+            }
+        }
+
+        InetSocketAddress address() {
+            return (InetSocketAddress) server.getLocalSocketAddress();
+        }
+
+        Call next() throws InterruptedException {
+            Call call = calls.poll(PATIENCE, TimeUnit.SECONDS);
+            assertNotNull(call, "no call came");
+            return call;
+        }
+    }
+
+    private final List<AutoCloseable> open = new CopyOnWriteArrayList<>();
+    private BlockingQueue<Event> events;                    // of the test's own watch; an earlier one may still report its end
+    private ListWatch watch;
+
+    private static byte[] answer(int index, String entries) {
+        return MessageWriter.response(200, ("{\"index\":" + index + ",\"snapshot\":false,\"endpoints\":[" + entries + "]}")
+            .getBytes(StandardCharsets.UTF_8), true);
+    }
+
+    private void watch(Registry registry, HostList known) {
+        System.out.println("seed " + SEED);
+        events = new LinkedBlockingQueue<>();
+        EventLoop loop = new EventLoop();
+        loop.start(events::add);
+        watch = new ListWatch(loop, registry.address(), known, SEED);
+        watch.start();
+        watch.watch();
+    }
+
+    private static HostList known() {
+        return new HostList(7, true, List.of(new UpstreamHost(new Entry("h", "a", "k", 0, State.ACTIVE, 1, 0), "127.0.0.1:9")));
+    }
+
+    private Event event() throws InterruptedException {
+        Event event = events.poll(PATIENCE, TimeUnit.SECONDS);
+        assertNotNull(event, "no event came");
+        return event;
+    }
+
+    private void assertNews(int version) throws InterruptedException {
+        Event event = event();
+        assertTrue(event instanceof Event.ListChanged, String.valueOf(event));
+        assertEquals(((Event.ListChanged) event).list().version(), version);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void close() throws Exception {
+        for (AutoCloseable party : open) {
+            party.close();
+        }
+        open.clear();
+    }
+
+    /** What the first answer of a silent call holds: nothing at all, part of a head, a head and part of a body. */
+    @DataProvider
+    public Object[][] beginnings() {
+        return new Object[][] {{0}, {20}, {NEWS.length - 5}};
+    }
+
+    @Test(dataProvider = "beginnings")
+    public void aSilentWatchIsAskedAgainOnANewConnectionBeforeWhatItMissedCountsAsTold(int bytes) throws Exception {
+        Registry registry = new Registry();
+        watch(registry, known());
+        Call first = registry.next();
+        assertTrue(first.target().startsWith("/registry/instances?since=7&timeout_ms="), first.target());
+        first.write(Arrays.copyOf(NEWS, bytes));
+        Call second = registry.next();
+        assertEquals(second.connection(), 2);
+        assertTrue(second.target().startsWith("/registry/instances?since=7&"), second.target());
+        long wait = Long.parseLong(first.target().replaceAll(".*timeout_ms=", ""));
+        assertTrue((second.at() - first.at()) / 1_000_000 < Math.max(TOLD_MILLIS, wait + 2000));
+        second.write(NEWS);
+        assertNews(8);
+        assertTrue(registry.next().target().contains("since=8&"));
+        assertTrue(events.isEmpty(), "a silence that the second call mended is no failure");
+    }
+
+    @Test
+    public void anAnswerThatComesInDropsEndsNoLaterThanASilentOne() throws Exception {
+        Registry registry = new Registry();
+        watch(registry, known());
+        Call first = registry.next();
+        Threads.start("drops", () -> {
+            try {
+                first.write("HTTP/1.1 200 OK\r\nX-Drops: ".getBytes(StandardCharsets.UTF_8));
+                for (;;) {
+                    first.write(new byte[] {'.'});
+                    Thread.sleep(100);
+                }
+            } catch (IOException | InterruptedException ended) {
+                return;
+            }
+        });
+        Call second = registry.next();
+        assertEquals(second.connection(), 2);
+        second.write(NEWS);
+        assertNews(8);
+    }
+
+    @Test
+    public void aSilentPollIsAskedAgainForTheWholeList() throws Exception {
+        Registry registry = new Registry();
+        watch(registry, new HostList(0, true, List.of()));
+        Call first = registry.next();
+        assertEquals(first.target(), "/registry/instances");
+        Call second = registry.next();
+        assertEquals(second.target(), "/registry/instances");
+        assertEquals(second.connection(), 2);
+        assertTrue((second.at() - first.at()) / 1_000_000 < TOLD_MILLIS);
+    }
+
+    @Test
+    public void theSecondCallIsAnsweredAlsoWhereThereIsNothingNew() throws Exception {
+        Registry registry = new Registry();
+        watch(registry, known());
+        registry.next();
+        Call second = registry.next();
+        assertTrue(second.target().endsWith("timeout_ms=1"), second.target());
+        second.write(NOTHING);
+        assertNews(7);
+        Call third = registry.next();
+        assertEquals(third.connection(), 2);
+        assertFalse(third.target().endsWith("timeout_ms=1"), third.target());
+    }
+
+    @Test
+    public void aSecondSilenceIsAFailureAndTheModuleSaysWhenToGoOn() throws Exception {
+        Registry registry = new Registry();
+        watch(registry, known());
+        registry.next();
+        registry.next();
+        assertTrue(event() instanceof Event.ListFailed);
+        assertTrue(registry.calls.isEmpty());
+        watch.watch();
+        Call third = registry.next();
+        assertEquals(third.connection(), 3);
+        third.write(NEWS);
+        assertNews(8);
+    }
+
+    @Test
+    public void aRefusalIsAFailureAtOnce() throws Exception {
+        Registry registry = new Registry();
+        watch(registry, known());
+        registry.next().write(MessageWriter.response(503, new byte[0], true));
+        assertTrue(event() instanceof Event.ListFailed);
+        assertTrue(registry.calls.isEmpty());
+    }
+
+    /** Calls at the old address before the move: the first is silent, or the first and the second. */
+    @DataProvider
+    public Object[][] silences() {
+        return new Object[][] {{1}, {2}};
+    }
+
+    @Test(dataProvider = "silences")
+    public void aMoveInTheSilenceAsksTheNewAddressForAllAndNotTheOldOne(int calls) throws Exception {
+        Registry old = new Registry();
+        Registry other = new Registry();
+        watch(old, known());
+        for (int i = 0; i < calls; i++) {
+            old.next();
+        }
+        watch.move(other.address());
+        Call moved = other.next();
+        assertEquals(moved.target(), "/registry/instances");
+        moved.write(NEWS);
+        assertNews(8);
+        assertTrue(other.next().target().contains("since=8&"));
+        assertTrue(old.calls.isEmpty());
+    }
+}
