Count what becomes of a node's streams, and send the counts to its supervisor

A change in stages compares new nodes with old ones by what each counted of itself. Weighed: counting in the module (it knows nothing of late answers on sockets) and a queue of reports (counts are cumulative: one slot does). Without OLIVECHUTE_FIGURES none of it is made or loaded.

--- a/src/main/java/olivechute/Node.java
+++ b/src/main/java/olivechute/Node.java
@@ -3,15 +3,18 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Instant;
+import java.util.SplittableRandom;
 import java.util.function.Supplier;
 import olivechute.config.NodeConfig;
 import olivechute.core.Dispatcher;
 import olivechute.core.Event;
 import olivechute.core.EventLoop;
+import olivechute.core.Tally;
 import olivechute.decision.DispatchApi.RequestClass;
 import olivechute.discovery.ListWatch;
 import olivechute.downstream.HttpFront;
 import olivechute.downstream.Visitor;
+import olivechute.figures.Reporting;
 import olivechute.net.Writers;
 import olivechute.secure.Secured;
 import olivechute.upstream.Dialler;
@@ -40,6 +43,7 @@
     private final HttpFront front;
     private final Dispatcher dispatcher;
     private final Secured secured;              // null where identities are off
+    private final Reporting reporting;          // null where no supervisor is named
     private final InetSocketAddress address;
     private InetSocketAddress secure;
 
@@ -58,8 +62,11 @@
         pools = new HostPools(loop, writers, dialler, new PressureHeader(config.report()),
             config.settings().limits().connIdle(), config.dialTimeout(), upstream);
         watch = new ListWatch(loop, config.discovery(), config.known());
+        reporting = config.figures() == null ? null : new Reporting(loop, config.figures(), config.name(),
+            config.settings().classes().stream().map(RequestClass::name).toList(), new SplittableRandom());
         dispatcher = new Dispatcher(loop, config.settings(), config.seed(), pools, watch,
-            streams(config.openStreams(), downstream), Runtime.getRuntime().maxMemory() / BODIES);
+            streams(config.openStreams(), downstream), Runtime.getRuntime().maxMemory() / BODIES,
+            reporting == null ? Tally.NONE : reporting.tally());
         front = new HttpFront(loop, writers, config.settings(), config.report(), downstream);
         int rehearsed = Warmup.run(config);
         Logger.debug("rehearsed {} jobs", rehearsed);
@@ -68,6 +75,9 @@
         if (secured != null) {
             loop.every(SECOND, secured::watch);
         }
+        if (reporting != null) {
+            reporting.start();
+        }
         loop.post(new Event.Task(() -> dispatcher.start(config.known())));
         loop.start(dispatcher);
         watch.start();
@@ -143,6 +153,9 @@
         while (front.unanswered() > 0 || loop.now() - front.lastTaken() < QUIET) {
             Thread.sleep(20);
         }
+        if (reporting != null) {
+            reporting.end();
+        }
         Thread.sleep(50);                                   // the last answers leave
         Logger.info("drained");
     }
--- a/src/main/java/olivechute/config/NodeConfig.java
+++ b/src/main/java/olivechute/config/NodeConfig.java
@@ -20,11 +20,11 @@
 /**
  * All that a node is told: the file named by {@code LB_CONFIG}, and {@code LB_NAME}, {@code LB_LISTEN} and
  * {@code LB_DISCOVERY}, which override it; and, where {@code OLIVECHUTE_SETTINGS} names one, the operators' own file. Read, checked and
- * given defaults here and nowhere else. {@code identity} is null where identities are off.
+ * given defaults here and nowhere else. {@code identity} is null where identities are off, {@code figures} where no supervisor is named.
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
                          int connections, HostList known, Settings settings, ReportFields report, int openStreams,
-                         long dialTimeout, IdentitySettings identity) {
+                         long dialTimeout, IdentitySettings identity, FiguresSettings figures) {
     /** Descriptors kept for files, the listener and discovery. */
     private static final int RESERVED = 64;
     /** Memory that the process takes without connections, in KiB: measured 44 MB, and what the heap grows under load. */
@@ -118,6 +118,7 @@
                 }
             });
         }
+        note(faults, () -> FiguresSettings.read(environment));
         if (OperatorFile.named(environment)) {
             List<String> own = new ArrayList<>();
             OperatorFile.read(environment, own);
@@ -162,7 +163,7 @@
             known(config),
             decode(settings), ReportFields.of(settings),
             within("ceilings.open_cap", ceilings.integerOr("open_cap", 4096), 1, Integer.MAX_VALUE),
-            within("ceilings.dial_timeout", ceilings.microsOr("dial_timeout", 250_000), 1000, 60_000_000), identity);
+            within("ceilings.dial_timeout", ceilings.microsOr("dial_timeout", 250_000), 1000, 60_000_000), identity, FiguresSettings.read(environment));
     }
 
     private static HostList known(Fields config) {
--- a/src/main/java/olivechute/core/Dispatcher.java
+++ b/src/main/java/olivechute/core/Dispatcher.java
@@ -16,6 +16,7 @@
 import olivechute.decision.DispatchApi.Load;
 import olivechute.decision.DispatchApi.Note;
 import olivechute.decision.DispatchApi.Outcome;
+import olivechute.decision.DispatchApi.RequestClass;
 import olivechute.decision.DispatchApi.Settings;
 import olivechute.log.StreamFields;
 import olivechute.routing.BodyBudget;
@@ -39,6 +40,8 @@
     private final Upstreams upstreams;
     private final Discovery discovery;
     private final Settings settings;
+    private final Tally tally;
+    private final boolean counts;
     private final DispatchApi.Events module;
     private int openStreams;
     private boolean quiet;
@@ -50,9 +53,17 @@
     private final Map<String, Long> lately = new LinkedHashMap<>();     // ids sent upstream whose streams ended, and when
     private final Map<String, DispatchApi.State> listed = new HashMap<>();
 
-    /** {@code openStreams} and {@code bodyBytes} bound the streams that are open at once, and the bytes of their bodies. */
+    /** Counts nothing. */
     public Dispatcher(EventLoop loop, Settings settings, long seed, Upstreams upstreams, Discovery discovery,
                       int openStreams, long bodyBytes) {
+        this(loop, settings, seed, upstreams, discovery, openStreams, bodyBytes, Tally.NONE);
+    }
+
+    /** {@code openStreams} and {@code bodyBytes} bound the streams that are open at once, and the bytes of their bodies. */
+    public Dispatcher(EventLoop loop, Settings settings, long seed, Upstreams upstreams, Discovery discovery,
+                      int openStreams, long bodyBytes, Tally tally) {
+        this.tally = tally;
+        this.counts = tally != Tally.NONE;
         this.loop = loop;
         this.settings = settings;
         this.upstreams = upstreams;
@@ -126,13 +137,16 @@
             e.downstream().duplicate();
             return;
         }
+        DispatchApi.Request r = e.request();
+        int requestClass = classes.getOrDefault(r.requestClass(), 0);
+        tally.taken(requestClass);
         if (streams.size() >= openStreams || !bodies.take(e.payload().length())) {
+            tally.refused(requestClass);
             e.downstream().refused(module.roomLikelyIn(now));
             return;
         }
-        long giveUp = Math.min(e.takenAt() + e.request().left(), end);
-        DispatchApi.Request r = e.request();
-        Stream stream = new Stream(id, e.payload(), e.downstream(), now, giveUp, classes.getOrDefault(r.requestClass(), 0), r.tenant());
+        long giveUp = Math.min(e.takenAt() + r.left(), end);
+        Stream stream = new Stream(id, e, now, giveUp, requestClass);
         streams.put(id, stream);
         stream.deadline = loop.at(giveUp - ANSWER_MARGIN, () -> deadline(stream));
         try {
@@ -146,8 +160,9 @@
 
     private void gone(Event.StreamGone e) {
         Stream stream = streams.get(e.stream());
-        if (stream != null && stream.downstream == e.downstream() && !stream.answered) {
+        if (stream != null && stream.opened.downstream() == e.downstream() && !stream.answered) {
             stream.answered = true;
+            tally.gone(stream.requestClass);
             module.hangup(loop.now(), stream.id);
             settle(stream);
         }
@@ -180,7 +195,8 @@
             case DONE -> {
                 if (!stream.answered) {
                     stream.answered = true;
-                    stream.downstream.served(e.result());
+                    countServed(stream);
+                    stream.opened.downstream().served(e.result());
                 }
                 ended(stream, Outcome.OK, e.load());
             }
@@ -219,9 +235,9 @@
 
     /** The module hears of a start once, also where only later news came through. */
     private void started(Stream stream) {
-        if (!stream.started) {
-            stream.started = true;
-            module.note(loop.now(), stream.id, stream.out.attempt(), Note.STARTED, 0);
+        if (stream.startedAt < 0) {
+            stream.startedAt = loop.now();
+            module.note(stream.startedAt, stream.id, stream.out.attempt(), Note.STARTED, 0);
         }
     }
 
@@ -235,6 +251,9 @@
                 stream.accepted ? stream.acceptedAt - stream.sentAt : -1);
         }
         stream.last = outcome;
+        if (!outcome.neverRan && stream.ranSince == Verdict.NEVER) {
+            stream.ranSince = stream.sentAt;
+        }
         health.ended(now, request.host(), stream.requestClass, outcome, stream.accepted ? now - stream.acceptedAt : -1);
         stream.stale |= outcome == Outcome.STALE;
         module.outcome(now, stream.id, request.attempt(), outcome, now - stream.sentAt, stream.answered, load);
@@ -245,7 +264,7 @@
     private void settle(Stream stream) {
         if (stream.answered && stream.out == null && streams.remove(stream.id, stream)) {
             stream.deadline.cancel();
-            bodies.give(stream.payload.length());
+            bodies.give(stream.opened.payload().length());
             if (stream.attempts > 0) {
                 remember(stream.id);
             }
@@ -295,20 +314,27 @@
         int attempt = stream.attempts++;
         long now = loop.now();
         long patience = stream.giveUp - ANSWER_MARGIN - now;
-        boolean moot = stream.answered || stream.out != null || attempt >= settings.limits().maxAttempts()
-            || patience <= 0 || !sendable(listed.get(worker));
-        UpstreamRequest request = new UpstreamRequest(id, attempt, worker, stream.payload, patience, stream.stale);
+        boolean wrong = stream.answered || stream.out != null && !settings.limits().parallelTries() || attempt >= settings.limits().maxAttempts();
+        boolean moot = wrong || stream.out != null || patience <= 0 || !sendable(listed.get(worker));
+        if (wrong || counts && !moot && !Verdict.mayRepeat(kind(stream), stream.ranSince, now)) {
+            tally.broken();
+        }
+        UpstreamRequest request = new UpstreamRequest(id, attempt, worker, stream.opened.payload(), patience, stream.stale);
         if (moot) {
             loop.post(new Event.Task(() -> module.outcome(loop.now(), id, attempt, Outcome.MOOT, 0, stream.answered,
                 Load.NONE)));
             return;
         }
+        boolean first = stream.sentAt == 0;
         stream.out = request;
         stream.sentAt = now;
         stream.accepted = false;
-        stream.started = false;
-        health.sent(now, worker, stream.requestClass, stream.tenant, attempt == 0);
+        stream.startedAt = -1;
+        health.sent(now, worker, stream.requestClass, stream.opened.request().tenant(), attempt == 0);
         upstreams.send(request);
+        if (first) {
+            tally.sent(now - stream.opened.takenAt());
+        }
         stream.acceptance = loop.at(now + health.patience(worker), () -> unaccepted(stream, request, 0));
         if (timeout > 0 && timeout < patience) {
             loop.at(now + timeout, () -> {
@@ -329,7 +355,11 @@
     @Override
     public void refuse(String id, long retryAfter) {
         answer(id, stream -> {
-            stream.downstream.refused(retryAfter);
+            tally.refused(stream.requestClass);
+            if (counts && !Verdict.mayRefuse(kind(stream), stream.ranSince)) {
+                tally.broken();
+            }
+            stream.opened.downstream().refused(retryAfter);
             if (!quiet && StreamFields.wanted()) {
                 StreamFields.refused(id, stream.attempts, stream.last == null ? "none" : stream.last.name(), loop.now() - stream.openedAt);
             }
@@ -338,18 +368,39 @@
 
     @Override
     public void fail(String id) {
-        answer(id, stream -> stream.downstream.failed());
+        answer(id, stream -> {
+            tally.failed(stream.requestClass);
+            stream.opened.downstream().failed();
+        });
     }
 
     private void answer(String id, Consumer<Stream> reply) {
         Stream stream = streams.get(id);
         if (stream != null && !stream.answered) {
             stream.answered = true;
+            countAnswered(stream);
             reply.accept(stream);
             settle(stream);
         }
     }
 
+    private RequestClass kind(Stream stream) {
+        return settings.classes().get(stream.requestClass);
+    }
+
+    private void countServed(Stream stream) {
+        if (counts) {
+            tally.served(stream.requestClass, Verdict.late(settings, kind(stream), stream.opened, stream.startedAt, loop.now()));
+            countAnswered(stream);
+        }
+    }
+
+    private void countAnswered(Stream stream) {
+        if (counts && !Verdict.inTime(settings, stream.opened, loop.now())) {
+            tally.broken();
+        }
+    }
+
     @Override
     public void cancel(String id, int attempt) {
         Stream stream = streams.get(id);
@@ -386,11 +437,9 @@
     /** A stream from its taking to its answer and the end of its last upstream request. */
     private static final class Stream {
         final String id;
-        final Payload payload;
-        final Downstream downstream;
+        final Event.StreamOpened opened;
         final long giveUp;
         final int requestClass;         // its index
-        final String tenant;            // as its client calls it, null if it does not
         final long openedAt;
         Outcome last;                   // of its upstream requests, null before one ended
         TimerWheel.Timer deadline;
@@ -398,20 +447,19 @@
         int attempts;
         UpstreamRequest out;            // null while none is
         boolean accepted;
-        boolean started;
-        long sentAt;
+        long startedAt = -1;            // negative until the host tells of it
+        long sentAt;                    // 0 until something was
+        long ranSince = Verdict.NEVER;  // when the first that may have run was sent
         long acceptedAt;
         boolean stale;                  // a kept connection broke under it
         boolean answered;
 
-        Stream(String id, Payload payload, Downstream downstream, long openedAt, long giveUp, int requestClass, String tenant) {
+        Stream(String id, Event.StreamOpened opened, long openedAt, long giveUp, int requestClass) {
             this.openedAt = openedAt;
             this.id = id;
-            this.payload = payload;
-            this.downstream = downstream;
+            this.opened = opened;
             this.giveUp = giveUp;
             this.requestClass = requestClass;
-            this.tenant = tenant;
         }
 
         boolean isOut(int attempt) {
--- a/src/main/java/olivechute/source/WorkloadSource.java
+++ b/src/main/java/olivechute/source/WorkloadSource.java
@@ -18,6 +18,7 @@
 import olivechute.identity.RefusedException;
 import olivechute.identity.SvidKeeper.Offer;
 import olivechute.identity.TrustBundle;
+import olivechute.net.Backoff;
 import olivechute.net.Threads;
 
 /**
