Test what a node counts and its way to the supervisor

The tally of a stream's life, the buckets and the sender had no tests. Lives run through a Dispatcher whose upstreams are the test's own; the sender meets supervisors that are late, break off, stand still or are not there, and awaits events, not times.

--- a/src/main/java/olivechute/figures/FiguresSender.java
+++ b/src/main/java/olivechute/figures/FiguresSender.java
@@ -47,8 +47,9 @@
         this.selector = Selector.open();
     }
 
-    void start() {
-        Threads.start("figures", this::run);
+    /** Returns its thread, which lasts until {@link #end}. */
+    Thread start() {
+        return Threads.start("figures", this::run);
     }
 
     /** Takes a snapshot to send; never waits. */
@@ -66,16 +67,18 @@
     private void run() {
         try (selector) {
             Snapshot unsent = null;
-            while (!(ending && newest.get() == null && unsent == null)) {
-                Snapshot next = newest.getAndSet(null);
-                unsent = next == null ? unsent : next;
-                if (unsent == null) {
+            for (;;) {
+                boolean last = ending;      // looked at before the slot: what came before the end is sent
+                unsent = newer(unsent);
+                if (unsent == null && last) {
+                    return;
+                } else if (unsent == null) {
                     await();
-                } else if (sent(unsent)) {
+                } else if (connected() && sent(unsent = newer(unsent))) {
                     unsent = null;
                     backoff.worked();
-                } else if (ending) {
-                    break;
+                } else if (last) {
+                    return;
                 } else {
                     pause(backoff.failed());
                 }
@@ -87,6 +90,12 @@
         }
     }
 
+    /** The snapshot that waits, if one does. */
+    private Snapshot newer(Snapshot unsent) {
+        Snapshot next = newest.getAndSet(null);
+        return next == null ? unsent : next;
+    }
+
     /** Until a snapshot is there or the connection ends: the supervisor says nothing on it. */
     private void await() throws IOException {
         if (key != null) {
@@ -123,28 +132,43 @@
         try {
             ByteArrayOutputStream bytes = new ByteArrayOutputStream();
             snapshot.message(origin).writeDelimitedTo(bytes);
-            if ((channel != null || connected()) && written(ByteBuffer.wrap(bytes.toByteArray()))) {
-                return true;
-            }
-            Logger.warn("figures: {} did not take them in time", supervisor);
+            return within(written(ByteBuffer.wrap(bytes.toByteArray())));
+        } catch (IOException e) {
+            return failed(e);
+        }
+    }
+
+    /** True if there is a connection, or is one now. */
+    private boolean connected() {
+        try {
+            return channel != null || within(dialled());
         } catch (IOException e) {
-            Logger.debug("figures: {}: {}", supervisor, e.getMessage());
+            return failed(e);
         }
+    }
+
+    private boolean within(boolean time) {
+        if (!time) {
+            Logger.warn("figures: {} does not take them in time", supervisor);
+            drop();
+        }
+        return time;
+    }
+
+    private boolean failed(IOException e) {
+        Logger.debug("figures: {}: {}", supervisor, e.getMessage());
         drop();
         return false;
     }
 
-    private boolean connected() throws IOException {
+    private boolean dialled() throws IOException {
         channel = SocketChannel.open();
         channel.configureBlocking(false);
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         channel.setOption(StandardSocketOptions.SO_SNDBUF, SEND_BUFFER);
         key = channel.register(selector, 0);
-        if (channel.connect(supervisor)) {
-            return true;
-        }
         long end = System.nanoTime() + limits.connect() * 1_000_000;
-        while (!channel.finishConnect()) {
+        for (boolean open = channel.connect(supervisor); !open; open = channel.finishConnect()) {
             if (!waited(SelectionKey.OP_CONNECT, end)) {
                 return false;
             }
--- /dev/null
+++ b/src/test/java/olivechute/core/TallyTest.java
@@ -0,0 +1,238 @@
+package olivechute.core;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import olivechute.decision.DispatchApi.Effect;
+import olivechute.decision.DispatchApi.Entry;
+import olivechute.decision.DispatchApi.Group;
+import olivechute.decision.DispatchApi.Limits;
+import olivechute.decision.DispatchApi.Load;
+import olivechute.decision.DispatchApi.Outcome;
+import olivechute.decision.DispatchApi.Prices;
+import olivechute.decision.DispatchApi.Reports;
+import olivechute.decision.DispatchApi.Request;
+import olivechute.decision.DispatchApi.RequestClass;
+import olivechute.decision.DispatchApi.Rules;
+import olivechute.decision.DispatchApi.Settings;
+import olivechute.decision.DispatchApi.State;
+import olivechute.decision.DispatchApi.Tail;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Lives of streams, and what a tally hears of each: taken once, one end, once. On a loop that never starts. */
+public class TallyTest implements Upstreams, Downstream {
+    private static final long MS = 1000;
+    private static final long S = 1_000_000;
+    private static final RequestClass VERIFY = new RequestClass("verify", 5 * S, S / 5, 2, 1, 0, Effect.SAFE, null, 0, null, 0);
+    private static final RequestClass SIGN = new RequestClass("sign", 5 * S, S / 5, 0, 1, 0, Effect.KEYED, Group.ALL, 7 * S, null, 0);
+    private static final RequestClass PAY = new RequestClass("pay", 5 * S, S / 5, 0, 1, 0, Effect.UNSAFE, null, 0, null, 0);
+    private static final RequestClass ZONED = new RequestClass("zoned", 5 * S, S / 5, 0, 1, 0, Effect.KEYED, Group.ZONE, 7 * S, null, 0);
+    private static final Settings SETTINGS = settings(false);
+
+    private final EventLoop loop = new EventLoop();
+    private List<String> told;
+    private List<String> answers;
+    private UpstreamRequest sent;
+    private Dispatcher dispatcher;
+
+    private static Settings settings(boolean marksRepeats) {
+        return new Settings(List.of(VERIFY, SIGN, PAY, ZONED), List.of(), "z", 1, new Rules(8 * MS, 10 * S, S / 2, 0.3, 9 * S, 3, S, false),
+            new Limits(false, true, false, false, 3, 2 * S, 5 * S), Reports.NONE, true, false, 0, new Prices(0, 0, 0, 0), Tail.NONE,
+            marksRepeats);
+    }
+
+    private final class Told implements Tally {
+        @Override
+        public void taken(int requestClass) {
+            told.add("taken " + requestClass);
+        }
+
+        @Override
+        public void served(int requestClass, boolean late) {
+            told.add((late ? "late " : "served ") + requestClass);
+        }
+
+        @Override
+        public void refused(int requestClass) {
+            told.add("refused " + requestClass);
+        }
+
+        @Override
+        public void failed(int requestClass) {
+            told.add("failed " + requestClass);
+        }
+
+        @Override
+        public void gone(int requestClass) {
+            told.add("gone " + requestClass);
+        }
+
+        @Override
+        public void sent(long delay) {
+            told.add("sent after " + delay / (100 * MS) * 100 + " ms");
+        }
+
+        @Override
+        public void broken() {
+            told.add("broken");
+        }
+    }
+
+    private void open(String id, String kind, long age, int body) {
+        Request request = new Request(id, kind, null, "k", 5 * S, Double.NaN, 1, Double.NaN, false);
+        dispatcher.accept(new Event.StreamOpened(request, new Payload("/" + kind, null, new byte[body], 0, body), this, loop.now() - age));
+    }
+
+    private void news(Event.JobState state) {
+        dispatcher.accept(new Event.JobNews("a", sent.host(), state, 1, new byte[0], Load.NONE));
+    }
+
+    private void play(String step) {
+        String[] words = step.split(" ");
+        switch (words[0]) {
+            case "open" -> open("a", words[1], words.length > 2 ? Long.parseLong(words[2]) * MS : 0, 1);
+            case "another" -> open("b", words[1], 0, 50);
+            case "leave" -> dispatcher.accept(new Event.StreamGone("a", this));
+            case "end" -> dispatcher.accept(new Event.AttemptEnded("a", sent.attempt(), Outcome.valueOf(words[1]), Load.NONE));
+            default -> news(Event.JobState.valueOf(words[0]));
+        }
+    }
+
+    @DataProvider
+    public Object[][] lives() {
+        return new Object[][] {
+            // steps, what the tally hears, the client's answers
+            {"open verify, DONE", "taken 0, sent after 0 ms, served 0", "served"},
+            {"open verify 100, STARTED, RUNNING, DONE, DONE, FAILED", "taken 0, sent after 100 ms, served 0", "served"},
+            {"open sign 300, DONE", "taken 1, sent after 300 ms, late 1", "served"},
+            {"open sign, leave, DONE, leave", "taken 1, sent after 0 ms, gone 1", ""},
+            {"open verify, leave, end ERROR", "taken 0, sent after 0 ms, gone 0", ""},
+            {"open pay, DONE, leave", "taken 2, sent after 0 ms, served 2", "served"},
+            {"open pay, FAILED", "taken 2, sent after 0 ms, failed 2", "failed"},
+            {"open pay, RETURNED, DONE", "taken 2, sent after 0 ms, served 2", "served"},
+            {"open verify, end CONNECT_FAILED, end RESET, end RESET", "taken 0, sent after 0 ms, refused 0", "refused"},
+            {"open verify, RETURNED, leave", "taken 0, sent after 0 ms, gone 0", ""},
+            {"open verify, open verify, DONE", "taken 0, sent after 0 ms, served 0", "duplicate, served"},
+            {"open verify, DONE, open verify", "taken 0, sent after 0 ms, served 0", "served, duplicate"},
+            {"another pay, open verify, leave", "taken 2, sent after 0 ms, taken 0, refused 0", "refused"},
+            {"open pay 6000", "taken 2, broken, refused 2", "refused"},
+        };
+    }
+
+    @Test(dataProvider = "lives")
+    public void aLifeCountsOnce(String steps, String wanted, String answered) {
+        told = new ArrayList<>();
+        answers = new ArrayList<>();
+        dispatcher = new Dispatcher(loop, SETTINGS, 1, this, () -> { }, 10, 50, new Told());
+        List<UpstreamHost> hosts = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            hosts.add(new UpstreamHost(new Entry("s" + i, "z", null, 0, State.ACTIVE, 1, 0), "127.0.0.1:1"));
+        }
+        dispatcher.start(new HostList(1, true, hosts));
+        for (String step : steps.split(", ")) {
+            play(step);
+        }
+        assertEquals(String.join(", ", told), wanted);
+        assertEquals(String.join(", ", answers), answered);
+    }
+
+    @DataProvider
+    public Object[][] waits() {
+        double none = Double.NaN;
+        return new Object[][] {
+            // class, told work, waited, ran (negative: no start was told), left, marked repeat: late?
+            {VERIFY, none, 200 * MS, -1L, 5 * S, false, false}, {VERIFY, none, 201 * MS, -1L, 5 * S, false, true},
+            {VERIFY, 100.0 * MS, 400 * MS, -1L, 5 * S, false, false}, {VERIFY, 100.0 * MS, 401 * MS, -1L, 5 * S, false, true},
+            {VERIFY, 100.0 * MS, 600 * MS, 200 * MS, 5 * S, false, false}, {VERIFY, none, 601 * MS, 200 * MS, 5 * S, false, true},
+            {VERIFY, none, 5 * S, 4 * S, 5 * S, false, false}, {VERIFY, none, 5 * S + 1, 4 * S, 5 * S, false, true},
+            {SIGN, 100.0 * MS, 201 * MS, 100 * MS, 5 * S, false, true},
+            {SIGN, none, 100 * MS, -1L, 5 * S - 100 * MS, true, false}, {SIGN, none, 101 * MS, -1L, 5 * S - 100 * MS, true, true},
+            {SIGN, none, 200 * MS, -1L, 4 * S, false, false},
+        };
+    }
+
+    @Test(dataProvider = "waits")
+    public void lateIsAfterTheAimAndItsStretch(RequestClass kind, double work, long waited, long ran, long left, boolean repeat, boolean late) {
+        Request request = new Request("a", kind.name(), null, "k", left, work, 1, Double.NaN, repeat);
+        long taken = 77 * S;
+        Event.StreamOpened opened = new Event.StreamOpened(request, null, this, taken);
+        assertEquals(Verdict.late(settings(true), kind, opened, ran < 0 ? -1 : taken + waited - ran, taken + waited), late);
+    }
+
+    /** Without marks a repeat cannot be told from a client that waits less. */
+    @Test
+    public void repeatsWithoutMarksCountFromTheirTaking() {
+        Request request = new Request("a", "sign", null, "k", S, Double.NaN, 1, Double.NaN, true);
+        assertEquals(Verdict.late(SETTINGS, SIGN, new Event.StreamOpened(request, null, this, 0), -1, 200 * MS), false);
+    }
+
+    @DataProvider
+    public Object[][] rules() {
+        return new Object[][] {
+            // class, since when one may have run (negative: none), may be repeated, may be refused
+            {VERIFY, -1L, true, true}, {VERIFY, 9 * S, true, true}, {PAY, -1L, true, true}, {PAY, 1L, false, false},
+            {SIGN, -1L, true, true}, {SIGN, 7 * S + 50 * MS, true, true}, {SIGN, 7 * S + 51 * MS, false, true},
+            {ZONED, -1L, true, true}, {ZONED, 1L, true, false},
+        };
+    }
+
+    @Test(dataProvider = "rules")
+    public void whatMayHaveRunBindsAsItsClassSays(RequestClass kind, long ago, boolean repeat, boolean refuse) {
+        long now = 77 * S;
+        long since = ago < 0 ? Verdict.NEVER : now - ago;
+        assertEquals(Verdict.mayRepeat(kind, since, now), repeat);
+        assertEquals(Verdict.mayRefuse(kind, since), refuse);
+    }
+
+    @Override
+    public void served(byte[] result) {
+        answers.add("served");
+    }
+
+    @Override
+    public void refused(long retryAfter) {
+        answers.add("refused");
+    }
+
+    @Override
+    public void failed() {
+        answers.add("failed");
+    }
+
+    @Override
+    public void duplicate() {
+        answers.add("duplicate");
+    }
+
+    @Override
+    public void listed(HostList list) {
+        // there is nothing to reach
+    }
+
+    @Override
+    public void send(UpstreamRequest request) {
+        sent = request;
+    }
+
+    @Override
+    public void giveUp(UpstreamRequest request, boolean accepted) {
+        // nothing is under way
+    }
+
+    @Override
+    public long handshake(UpstreamRequest request) {
+        return 0;
+    }
+
+    @Override
+    public void withdraw(UpstreamRequest request) {
+        // nothing is under way
+    }
+
+    @Override
+    public void closeIdle(String host) {
+        // there are no connections
+    }
+}
--- /dev/null
+++ b/src/test/java/olivechute/figures/FiguresSenderTest.java
@@ -0,0 +1,233 @@
+package olivechute.figures;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import olivechute.config.FiguresSettings;
+import olivechute.core.Event;
+import olivechute.core.EventLoop;
+import olivechute.figures.FiguresSender.Limits;
+import olivechute.fleet.wire.NodeFigures;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The way to a supervisor that is there, is not, comes late, breaks off or stands still. */
+public class FiguresSenderTest {
+    private static final int WATCH = 10_000;
+    private static final int CLASSES = 200;
+    private static final long SEED = 5;
+
+    private NodeCounts counts;
+    private ServerSocket supervisor;
+    private FiguresSender sender;
+    private final List<Socket> sockets = new ArrayList<>();
+
+    @BeforeMethod
+    public void listen() throws IOException {
+        counts = new NodeCounts(CLASSES);
+        supervisor = new ServerSocket();
+        supervisor.setReceiveBufferSize(4096);
+        supervisor.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        supervisor.setSoTimeout(WATCH);
+        sender = sender(new Limits(500, 300, 10, 40));
+    }
+
+    private FiguresSender sender(Limits limits) throws IOException {
+        List<String> classes = new ArrayList<>();
+        for (int i = 0; i < CLASSES; i++) {
+            classes.add("class-of-some-length-" + i);
+        }
+        FiguresSender made = new FiguresSender(address(), new Snapshot.Origin("n0", "v1", 7, classes), limits, new SplittableRandom(SEED));
+        made.start();
+        return made;
+    }
+
+    private InetSocketAddress address() {
+        return (InetSocketAddress) supervisor.getLocalSocketAddress();
+    }
+
+    /** Ends the sender before its port is another's. */
+    @AfterMethod(alwaysRun = true)
+    public void end() throws IOException {
+        sender.end();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        sockets.clear();
+        supervisor.close();
+    }
+
+    private long offer() {
+        counts.taken(0);
+        Snapshot snapshot = counts.snapshot(0);
+        sender.offer(snapshot);
+        return snapshot.sequence();
+    }
+
+    private InputStream accept() throws IOException {
+        Socket socket = supervisor.accept();
+        socket.setSoTimeout(WATCH);
+        sockets.add(socket);
+        return socket.getInputStream();
+    }
+
+    private static NodeFigures read(InputStream in) throws IOException {
+        return NodeFigures.parseDelimitedFrom(in);
+    }
+
+    /** The first report at or after a sequence number; numbers grow on the way there. */
+    private static NodeFigures upTo(InputStream in, long sequence) throws IOException {
+        long before = 0;
+        for (;;) {
+            NodeFigures report = read(in);
+            assertNotNull(report, "the connection ended");
+            assertTrue(report.getSequence() > before, report.getSequence() + " after " + before);
+            before = report.getSequence();
+            if (before >= sequence) {
+                return report;
+            }
+        }
+    }
+
+    @Test
+    public void reportsComeInOrderOverOneConnection() throws Exception {
+        long first = offer();
+        InputStream in = accept();
+        assertEquals(upTo(in, first).getSequence(), first);
+        for (int i = 0; i < 5; i++) {
+            long next = offer();
+            NodeFigures report = upTo(in, next);
+            assertEquals(report.getSequence() + " " + report.getIncarnation() + " " + report.getVersion(), next + " 7 v1");
+        }
+    }
+
+    @Test
+    public void oneThatComesLateGetsTheNewest() throws Exception {
+        int port = supervisor.getLocalPort();
+        InetAddress host = supervisor.getInetAddress();
+        supervisor.close();
+        for (int i = 0; i < 50; i++) {
+            offer();
+        }
+        supervisor = new ServerSocket();
+        supervisor.setReuseAddress(true);
+        supervisor.setSoTimeout(WATCH);
+        long newest = offer();
+        supervisor.bind(new InetSocketAddress(host, port));
+        NodeFigures report = read(accept());
+        assertEquals(report.getSequence(), newest);
+        assertEquals(report.getClasses(0).getTaken(), newest);
+    }
+
+    @Test
+    public void afterAResetTheNextReportComesOverAnotherConnection() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            long sequence = offer();
+            InputStream in = accept();
+            assertEquals(upTo(in, sequence).getSequence(), sequence);
+            sockets.get(i).setSoLinger(true, 0);
+            sockets.get(i).close();
+            // The end shows by itself: with nothing offered the sender drops it, and dials for the next report.
+        }
+        assertEquals(read(supervisorAfter(offer())).getClasses(0).getTaken(), 4);
+    }
+
+    private InputStream supervisorAfter(long sequence) throws IOException {
+        assertTrue(sequence > 0);
+        return accept();
+    }
+
+    /** One that reads nothing holds up its own reports only; they are not stored up for it, and the next to read gets the newest. */
+    @Test
+    public void oneThatStopsReadingIsDroppedAndGetsTheNewestWhenItIsBack() throws Exception {
+        long last = offer();
+        InputStream still = accept();
+        assertNotNull(read(still));
+        supervisor.setSoTimeout(20);
+        InputStream again = null;
+        long end = System.nanoTime() + WATCH * 1_000_000L;
+        while (again == null && System.nanoTime() < end) {
+            long before = System.nanoTime();
+            last = offer();
+            assertTrue(System.nanoTime() - before < WATCH * 1_000_000L / 2, "waits for the supervisor");
+            try {
+                again = accept();
+            } catch (java.net.SocketTimeoutException e) {
+                continue;
+            }
+        }
+        assertNotNull(again, "the one that stands still was never dropped");
+        assertTrue(upTo(again, last).getSequence() >= last);
+    }
+
+    /** Ended, it sends what it has and takes leave. */
+    @Test
+    public void theLastReportComesBeforeTheEnd() throws Exception {
+        InputStream in = supervisorAfter(offer());
+        long last = offer();
+        sender.end();
+        assertEquals(upTo(in, last).getSequence(), last);
+        assertNull(read(in));
+    }
+
+    @Test
+    public void anEndWithoutASupervisorIsAnEnd() throws Exception {
+        supervisor.close();
+        FiguresSender alone = new FiguresSender(address(), new Snapshot.Origin("n0", "", 7, List.of("verify")),
+            new Limits(500, 300, 600_000, 600_000), new SplittableRandom(SEED));
+        alone.offer(new NodeCounts(1).snapshot(0));
+        Thread thread = alone.start();
+        alone.end();
+        thread.join(WATCH);
+        assertTrue(!thread.isAlive(), "waits for its next try");
+    }
+
+    /** The loop runs on, whatever the supervisor does: here nobody takes even the connection. */
+    @Test
+    public void theLoopNeverWaitsForASupervisor() throws Exception {
+        ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        Socket[] waiting = new Socket[4];
+        try (full) {
+            for (int i = 0; i < waiting.length; i++) {
+                waiting[i] = new Socket();
+                try {
+                    waiting[i].connect(full.getLocalSocketAddress(), 50);
+                } catch (IOException backlogFull) {
+                    break;
+                }
+            }
+            EventLoop loop = new EventLoop();
+            Reporting reporting = new Reporting(loop, new FiguresSettings((InetSocketAddress) full.getLocalSocketAddress(), "v1"), "n0",
+                List.of("verify"), new SplittableRandom(SEED));
+            CountDownLatch ran = new CountDownLatch(1000);
+            reporting.start();
+            loop.every(1000, ran::countDown);
+            loop.start(event -> { });
+            for (int i = 0; i < 500; i++) {
+                loop.post(new Event.Task(ran::countDown));
+            }
+            assertTrue(ran.await(WATCH, TimeUnit.MILLISECONDS));
+            reporting.end();
+        } finally {
+            for (Socket socket : waiting) {
+                if (socket != null) {
+                    socket.close();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/olivechute/figures/NodeCountsTest.java
@@ -0,0 +1,55 @@
+package olivechute.figures;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import olivechute.fleet.wire.ClassFigures;
+import olivechute.fleet.wire.NodeFigures;
+import org.junit.jupiter.api.Test;
+
+class NodeCountsTest {
+    private static final Snapshot.Origin ORIGIN = new Snapshot.Origin("n0", "v1", 7, List.of("verify", "sign"));
+
+    @Test
+    void eachCountHasItsPlaceInTheMessage() {
+        NodeCounts counts = new NodeCounts(2);
+        times(1, () -> counts.taken(1));
+        times(2, () -> counts.served(1, false));
+        times(3, () -> counts.served(1, true));
+        times(4, () -> counts.refused(1));
+        times(5, () -> counts.failed(1));
+        times(6, () -> counts.gone(1));
+        times(7, counts::broken);
+        times(8, () -> counts.sent(60));
+        counts.taken(0);
+        NodeFigures message = counts.snapshot(5_000_999).message(ORIGIN);
+        assertEquals(ClassFigures.newBuilder().setName("sign").setTaken(1).setServedInTime(2).setServedLate(3).setRefused(4).setFailed(5)
+            .setGone(6).build(), message.getClasses(1));
+        assertEquals(ClassFigures.newBuilder().setName("verify").setTaken(1).build(), message.getClasses(0));
+        assertEquals("n0 v1 7 1 5000", message.getNode() + " " + message.getVersion() + " " + message.getIncarnation() + " "
+            + message.getSequence() + " " + message.getAtMs());
+        assertEquals(7, message.getRulesBroken());
+        assertEquals(Delay.BUCKETS, message.getDelayCount());
+        assertEquals(8, message.getDelay(1));
+    }
+
+    @Test
+    void aSnapshotStandsStillWhileTheCountsGoOn() {
+        NodeCounts counts = new NodeCounts(2);
+        counts.taken(0);
+        Snapshot first = counts.snapshot(0);
+        counts.taken(0);
+        counts.sent(1);
+        Snapshot second = counts.snapshot(0);
+        assertEquals(1, first.message(ORIGIN).getClasses(0).getTaken());
+        assertEquals(0, first.message(ORIGIN).getDelay(0));
+        assertEquals(2, second.message(ORIGIN).getClasses(0).getTaken());
+        assertEquals(first.sequence() + 1, second.sequence());
+    }
+
+    private static void times(int n, Runnable task) {
+        for (int i = 0; i < n; i++) {
+            task.run();
+        }
+    }
+}
