Give the store its state machine and a store in one process

The processes of a fleet share keys, leases and watches; all replicas must decide alike. A history that kept the values was ruled out: a watch is told the newest value of each key that changed, so only keys are kept. Sessions are numbered from the store's version, so they only grow and ended fences may be forgotten. Tested: MemoryStoreTest, 6 cases.

--- /dev/null
+++ b/src/main/java/olivechute/store/Held.java
@@ -0,0 +1,27 @@
+package olivechute.store;
+
+import olivechute.store.wire.Lease;
+
+/** A lease that is held; it ends at {@code endsMs} of the store's clock. */
+record Held(String name, String owner, long session, long ttlMs, long endsMs) implements Comparable<Held> {
+    /** The same lease, prolonged to its term from this moment. */
+    Held renewed(long nowMs) {
+        return new Held(name, owner, session, ttlMs, end(nowMs, ttlMs));
+    }
+
+    /** The end of a term that begins now, at most the end of time. */
+    static long end(long nowMs, long ttlMs) {
+        return ttlMs > Long.MAX_VALUE - nowMs ? Long.MAX_VALUE : nowMs + ttlMs;
+    }
+
+    Lease wire() {
+        return Lease.newBuilder().setName(name).setOwner(owner).setSession(session).setTtlMs(ttlMs).setEndsMs(endsMs).build();
+    }
+
+    /** The one that ends first comes first. */
+    @Override
+    public int compareTo(Held other) {
+        int byEnd = Long.compare(endsMs, other.endsMs);
+        return byEnd != 0 ? byEnd : Long.compare(session, other.session);
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/store/MemoryStore.java
@@ -0,0 +1,131 @@
+package olivechute.store;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.LongSupplier;
+import olivechute.fault.FaultKind;
+import olivechute.fault.StoreFault;
+import olivechute.store.wire.Command;
+import olivechute.store.wire.Query;
+import olivechute.store.wire.Reply;
+
+/**
+ * The store within one process, over the same state machine: for tests and for what runs alone. Leases end by the given clock, at each
+ * write and at {@link #tick}; watches wait by the machine's own.
+ */
+public final class MemoryStore implements Store {
+    private final LongSupplier clockMs;
+    private final StoreMachine machine;
+    private final WatchBook watches;
+    private final CompletableFuture<Void> closed = new CompletableFuture<>();
+    private StoreState state = StoreState.EMPTY;
+
+    /** {@code clockMs}: ms since the epoch, or since whatever the caller likes. */
+    public MemoryStore(LongSupplier clockMs) {
+        this(clockMs, Bounds.USUAL);
+    }
+
+    /** With bounds of its own. */
+    public MemoryStore(LongSupplier clockMs, Bounds bounds) {
+        this.clockMs = clockMs;
+        machine = new StoreMachine(bounds);
+        watches = new WatchBook(bounds, state);
+    }
+
+    @Override
+    public Optional<Entry> get(String key) throws StoreFault {
+        return StoreMessages.entry(query(StoreMessages.get(key)));
+    }
+
+    @Override
+    public Changes list(String prefix) throws StoreFault {
+        return StoreMessages.changes(query(StoreMessages.list(prefix)));
+    }
+
+    @Override
+    public long write(List<Write> writes, List<Fence> fences) throws StoreFault {
+        return StoreMessages.version(apply(StoreMessages.batch(writes, fences)));
+    }
+
+    @Override
+    public Changes watch(String prefix, long since, Duration wait) throws StoreFault {
+        open();
+        Query query = StoreMessages.watch(prefix, since, wait);
+        long deadlineMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) + query.getWatch().getWaitMs();
+        CompletableFuture<Reply> answer = watches.register(query.getWatch().getPrefix(), since, deadlineMs);
+        try {
+            CompletableFuture.anyOf(answer, closed).get(query.getWatch().getWaitMs(), TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            watches.expire(deadlineMs);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            answer.cancel(false);
+            throw new StoreFault(FaultKind.NOT_REACHED, "a watch that was interrupted", e);
+        } catch (ExecutionException e) {
+            throw new StoreFault(FaultKind.NOT_REACHED, "a watch that failed", e);
+        }
+        if (!answer.isDone()) {
+            answer.cancel(false);
+            open();
+        }
+        return StoreMessages.changes(answer.join());
+    }
+
+    @Override
+    public Lease acquire(String name, String owner, Duration ttl) throws StoreFault {
+        return StoreMessages.lease(apply(StoreMessages.acquire(name, owner, ttl)));
+    }
+
+    @Override
+    public void renew(Lease lease) throws StoreFault {
+        StoreMessages.version(apply(StoreMessages.renew(lease)));
+    }
+
+    @Override
+    public void release(Lease lease) throws StoreFault {
+        StoreMessages.version(apply(StoreMessages.release(lease)));
+    }
+
+    /** Ends the leases that ran out by now; the watches on their keys wake. */
+    public void tick() throws StoreFault {
+        StoreMessages.version(apply(StoreMessages.tick()));
+    }
+
+    /** Ends all calls that wait, and refuses new ones as NOT_REACHED. */
+    @Override
+    public void close() {
+        closed.complete(null);
+    }
+
+    private Reply apply(Command command) throws StoreFault {
+        open();
+        StoreState now;
+        Reply reply;
+        synchronized (this) {
+            Applied applied = machine.apply(state, StoreMessages.stamped(command, clockMs.getAsLong()), state.index() + 1);
+            state = applied.state();
+            now = state;
+            reply = applied.reply();
+        }
+        watches.onChange(now);
+        return reply;
+    }
+
+    private Reply query(Query query) throws StoreFault {
+        open();
+        synchronized (this) {
+            return machine.query(state, query);
+        }
+    }
+
+    private void open() throws StoreFault {
+        if (closed.isDone()) {
+            throw new StoreFault(FaultKind.NOT_REACHED, "the store in memory is closed");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/store/Queries.java
@@ -0,0 +1,85 @@
+package olivechute.store;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import olivechute.store.wire.Entry;
+import olivechute.store.wire.Reply;
+import olivechute.store.wire.Status;
+
+/** Reads a state. */
+final class Queries {
+    private Queries() { }
+
+    static Reply get(StoreState state, String key) {
+        Reply.Builder reply = Reply.newBuilder().setVersion(state.version());
+        Stored stored = state.entries().get(key);
+        if (stored != null) {
+            reply.addEntries(entry(key, stored));
+        }
+        return reply.build();
+    }
+
+    /** All under a prefix, by key. */
+    static Reply list(StoreState state, String prefix) {
+        Reply.Builder reply = Reply.newBuilder().setVersion(state.version()).setWhole(true);
+        for (Map.Entry<String, Stored> each : state.entries().tailMap(prefix, true).entrySet()) {
+            if (!each.getKey().startsWith(prefix)) {
+                break;
+            }
+            reply.addEntries(entry(each.getKey(), each.getValue()));
+        }
+        return reply.build();
+    }
+
+    /**
+     * What changed under a prefix after a version, without waiting: the newest value of each key, by version. Where the history does
+     * not reach back so far, all there is. A version beyond the state's own is one that another replica was at: nothing changed yet.
+     */
+    static Reply watch(StoreState state, String prefix, long since) {
+        if (!state.history().reaches(since)) {
+            return list(state, prefix);
+        }
+        Reply.Builder reply = Reply.newBuilder().setVersion(Math.max(since, state.version()));
+        List<Entry> entries = new ArrayList<>();
+        for (String key : changed(state, prefix, since)) {
+            Stored stored = state.entries().get(key);
+            if (stored == null) {
+                reply.addRemoved(key);
+            } else {
+                entries.add(entry(key, stored));
+            }
+        }
+        entries.sort(Comparator.comparingLong(Entry::getVersion));
+        return reply.addAllEntries(entries).build();
+    }
+
+    /** Whether a watch has something to tell. */
+    static boolean tells(Reply reply) {
+        return reply.getWhole() || reply.getEntriesCount() > 0 || reply.getRemovedCount() > 0;
+    }
+
+    static Reply status(StoreState state, int knows) {
+        return Reply.newBuilder().setVersion(state.version()).setStatus(Status.newBuilder().setVersion(state.version())
+            .setLevel(state.level()).setKnows(knows).setKeys(state.entries().size()).setBytes(state.bytes())
+            .setSessions(state.leases().size())).build();
+    }
+
+    private static TreeSet<String> changed(StoreState state, String prefix, long since) {
+        TreeSet<String> keys = new TreeSet<>();
+        for (List<String> each : state.history().since(since)) {
+            for (String key : each) {
+                if (key.startsWith(prefix)) {
+                    keys.add(key);
+                }
+            }
+        }
+        return keys;
+    }
+
+    private static Entry entry(String key, Stored stored) {
+        return Entry.newBuilder().setKey(key).setValue(stored.value()).setVersion(stored.version()).build();
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/store/Sizes.java
@@ -0,0 +1,22 @@
+package olivechute.store;
+
+import com.google.protobuf.ByteString;
+
+/** How many bytes keys and values take. */
+final class Sizes {
+    private Sizes() { }
+
+    /** Bytes of a text in UTF-8; each half of a pair counts two. */
+    static int of(String text) {
+        int bytes = 0;
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            bytes += c < 0x80 ? 1 : c < 0x800 || Character.isSurrogate(c) ? 2 : 3;
+        }
+        return bytes;
+    }
+
+    static long of(String key, ByteString value) {
+        return (long) of(key) + value.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/store/StoreMachine.java
@@ -0,0 +1,125 @@
+package olivechute.store;
+
+import olivechute.fault.FaultKind;
+import olivechute.fault.StoreFault;
+import olivechute.store.wire.Command;
+import olivechute.store.wire.Query;
+import olivechute.store.wire.Reply;
+
+/**
+ * The store's state machine: from a state and a command to the next state and the answer. Time comes from commands alone, nothing from
+ * chance or the machine it runs on, so all replicas that apply the same log are equal. No I/O; safe for use by several threads.
+ */
+public final class StoreMachine {
+    /** The highest feature level that this program knows. */
+    public static final int KNOWN_LEVEL = 1;
+
+    private final Bounds bounds;
+    private final int known;
+    private final Batches batches;
+    private final Sessions sessions;
+    private final Levels levels;
+
+    /** One of this program's level. */
+    public StoreMachine(Bounds bounds) {
+        this(bounds, KNOWN_LEVEL);
+    }
+
+    /** {@code known}: the highest feature level that it understands. */
+    public StoreMachine(Bounds bounds, int known) {
+        this.bounds = bounds;
+        this.known = known;
+        batches = new Batches(bounds);
+        sessions = new Sessions(bounds);
+        levels = new Levels(bounds);
+    }
+
+    /** How much the store holds at most. */
+    public Bounds bounds() {
+        return bounds;
+    }
+
+    /** The highest feature level that it understands. */
+    public int known() {
+        return known;
+    }
+
+    /**
+     * Applies a command: first ends the leases that ran out by its clock, then does what it says or refuses it. A command that is
+     * refused as LEVEL_TOO_LOW or MALFORMED as a whole moves not even the clock.
+     *
+     * @throws StoreFault LEVEL_TOO_LOW where the group's level is above what this program knows: it must stop here, since from now on
+     *     it might decide otherwise than the others
+     */
+    public Applied apply(StoreState state, Command command, long index) throws StoreFault {
+        if (state.level() > known) {
+            throw new StoreFault(FaultKind.LEVEL_TOO_LOW, "this program knows level " + known + ", the group is at " + state.level());
+        }
+        StoreState now = at(state, index);
+        try {
+            understand(now, command);
+            now = sessions.advance(now, command.getNowMs());
+            StoreState after = act(now, command);
+            return new Applied(after, reply(after, command));
+        } catch (Refused e) {
+            return new Applied(now, Reply.newBuilder().setVersion(now.version()).setRefusal(e.refusal()).build());
+        }
+    }
+
+    /** Answers from a state; a watch is not waited for. {@code status} leaves out what only the replica itself knows. */
+    public Reply query(StoreState state, Query query) {
+        if (query.getLevel() <= known) {
+            switch (query.getWhatCase()) {
+                case GET:
+                    return Queries.get(state, query.getGet());
+                case LIST:
+                    return Queries.list(state, query.getList());
+                case WATCH:
+                    return Queries.watch(state, query.getWatch().getPrefix(), query.getWatch().getSince());
+                case STATUS:
+                    return Queries.status(state, known);
+                default:
+                    break;
+            }
+        }
+        return StoreMessages.refusal(FaultKind.LEVEL_TOO_LOW, "a query of level " + query.getLevel() + " that level " + known
+            + " does not know", state.version());
+    }
+
+    private static void understand(StoreState state, Command command) throws Refused {
+        if (Integer.compareUnsigned(command.getLevel(), state.level()) > 0) {
+            throw new Refused(FaultKind.LEVEL_TOO_LOW, "a command of level " + Integer.toUnsignedString(command.getLevel())
+                + ", the group is at " + state.level());
+        }
+        if (command.getWhatCase() == Command.WhatCase.WHAT_NOT_SET) {
+            throw new Refused(FaultKind.LEVEL_TOO_LOW, "a command of a kind that level " + state.level() + " does not know");
+        }
+    }
+
+    private StoreState act(StoreState state, Command command) throws Refused {
+        return switch (command.getWhatCase()) {
+            case BATCH -> batches.apply(state, command.getBatch());
+            case ACQUIRE -> sessions.acquire(state, command.getAcquire());
+            case RENEW -> sessions.renew(state, command.getRenew().getSession());
+            case RELEASE -> sessions.release(state, command.getRelease().getSession());
+            case ANNOUNCE -> levels.announce(state, command.getAnnounce());
+            case RAISE -> levels.raise(state, command.getRaise().getLevel());
+            case TICK, WHAT_NOT_SET -> state;
+        };
+    }
+
+    private static Reply reply(StoreState after, Command command) {
+        Reply.Builder reply = Reply.newBuilder().setVersion(after.version());
+        if (command.hasAcquire()) {
+            reply.setLease(after.leases().named(command.getAcquire().getName()).wire());
+        } else if (command.hasRenew()) {
+            reply.setLease(after.leases().of(command.getRenew().getSession()).wire());
+        }
+        return reply.build();
+    }
+
+    private static StoreState at(StoreState s, long index) {
+        return new StoreState(index, s.version(), s.clockMs(), s.level(), s.entries(), s.bytes(), s.owned(), s.leases(), s.fences(),
+            s.announced(), s.history());
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/store/StoreMessages.java
@@ -0,0 +1,166 @@
+package olivechute.store;
+
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import olivechute.fault.FaultKind;
+import olivechute.fault.StoreFault;
+import olivechute.store.wire.Acquire;
+import olivechute.store.wire.Announce;
+import olivechute.store.wire.Batch;
+import olivechute.store.wire.Command;
+import olivechute.store.wire.Fence;
+import olivechute.store.wire.Put;
+import olivechute.store.wire.Query;
+import olivechute.store.wire.RaiseLevel;
+import olivechute.store.wire.Refusal;
+import olivechute.store.wire.Release;
+import olivechute.store.wire.Renew;
+import olivechute.store.wire.Reply;
+import olivechute.store.wire.Tick;
+import olivechute.store.wire.Watch;
+
+/**
+ * Between what a client of the store says and the messages that carry it. The clock of commands is left open: the lead stamps it with
+ * {@link #stamped}. Text that UTF-8 cannot hold is MALFORMED. What reads a reply throws the refusal that it holds.
+ */
+public final class StoreMessages {
+    /** The feature level that these messages need. */
+    private static final int LEVEL = 1;
+
+    private StoreMessages() { }
+
+    public static Command batch(List<Store.Write> writes, List<Store.Fence> fences) throws StoreFault {
+        Batch.Builder batch = Batch.newBuilder();
+        for (Store.Write write : writes) {
+            batch.addPuts(put(write));
+        }
+        for (Store.Fence fence : fences) {
+            batch.addFences(Fence.newBuilder().setDomain(text(fence.domain())).setNumber(fence.number()));
+        }
+        return command().setBatch(batch).build();
+    }
+
+    public static Command acquire(String name, String owner, Duration ttl) throws StoreFault {
+        return command().setAcquire(Acquire.newBuilder().setName(text(name)).setOwner(text(owner)).setTtlMs(ttl.toMillis())).build();
+    }
+
+    public static Command renew(Store.Lease lease) {
+        return command().setRenew(Renew.newBuilder().setSession(lease.session())).build();
+    }
+
+    public static Command release(Store.Lease lease) {
+        return command().setRelease(Release.newBuilder().setSession(lease.session())).build();
+    }
+
+    public static Command tick() {
+        return command().setTick(Tick.getDefaultInstance()).build();
+    }
+
+    /** {@code knows} 0 strikes the replica off. */
+    public static Command announce(String replica, int knows) throws StoreFault {
+        return command().setAnnounce(Announce.newBuilder().setReplica(text(replica)).setKnows(knows)).build();
+    }
+
+    public static Command raise(int level) {
+        return command().setRaise(RaiseLevel.newBuilder().setLevel(level)).build();
+    }
+
+    /** The command with the lead's clock, ms since the epoch. */
+    public static Command stamped(Command command, long nowMs) {
+        return command.toBuilder().setNowMs(nowMs).build();
+    }
+
+    public static Query get(String key) throws StoreFault {
+        return query().setGet(text(key)).build();
+    }
+
+    public static Query list(String prefix) throws StoreFault {
+        return query().setList(text(prefix)).build();
+    }
+
+    public static Query watch(String prefix, long since, Duration wait) throws StoreFault {
+        int ms = (int) Math.min(Integer.MAX_VALUE, Math.max(0, wait.toMillis()));
+        return query().setWatch(Watch.newBuilder().setPrefix(text(prefix)).setSince(since).setWaitMs(ms)).build();
+    }
+
+    public static Query status() {
+        return query().setStatus(true).build();
+    }
+
+    /** A reply that refuses; {@code version} is the store's. */
+    public static Reply refusal(FaultKind kind, String text, long version) {
+        return Reply.newBuilder().setVersion(version).setRefusal(Refusal.newBuilder().setKind(kind.name()).setText(text)).build();
+    }
+
+    /** A fault as the reply that carries it to the client. */
+    public static Reply refusal(StoreFault fault, long version) {
+        return refusal(fault.kind(), fault.what(), version);
+    }
+
+    /** The same reply, once it is known to refuse nothing. */
+    public static Reply granted(Reply reply) throws StoreFault {
+        if (!reply.hasRefusal()) {
+            return reply;
+        }
+        Refusal refusal = reply.getRefusal();
+        for (FaultKind kind : FaultKind.values()) {
+            if (kind.name().equals(refusal.getKind())) {
+                throw new StoreFault(kind, refusal.getText());
+            }
+        }
+        throw new StoreFault(FaultKind.MALFORMED, "a refusal of the unknown kind '" + refusal.getKind() + "': " + refusal.getText());
+    }
+
+    public static long version(Reply reply) throws StoreFault {
+        return granted(reply).getVersion();
+    }
+
+    public static Optional<Store.Entry> entry(Reply reply) throws StoreFault {
+        return granted(reply).getEntriesList().stream().findFirst().map(StoreMessages::entry);
+    }
+
+    public static Store.Changes changes(Reply reply) throws StoreFault {
+        List<Store.Entry> entries = granted(reply).getEntriesList().stream().map(StoreMessages::entry).toList();
+        return new Store.Changes(reply.getVersion(), reply.getWhole(), entries, List.copyOf(reply.getRemovedList()));
+    }
+
+    public static Store.Lease lease(Reply reply) throws StoreFault {
+        if (!granted(reply).hasLease()) {
+            throw new StoreFault(FaultKind.MALFORMED, "a reply without the lease that was asked for");
+        }
+        olivechute.store.wire.Lease lease = reply.getLease();
+        return new Store.Lease(lease.getName(), lease.getOwner(), lease.getSession(), Duration.ofMillis(lease.getTtlMs()));
+    }
+
+    private static Store.Entry entry(olivechute.store.wire.Entry entry) {
+        return new Store.Entry(entry.getKey(), entry.getValue().toByteArray(), entry.getVersion());
+    }
+
+    private static Put put(Store.Write write) throws StoreFault {
+        Put.Builder put = Put.newBuilder().setKey(text(write.key())).setSession(write.session());
+        if (write.value() == null) {
+            put.setDelete(true);
+        } else {
+            put.setValue(ByteString.copyFrom(write.value()));
+        }
+        return (write.ifVersion() == null ? put : put.setConditional(true).setIfVersion(write.ifVersion())).build();
+    }
+
+    private static Command.Builder command() {
+        return Command.newBuilder().setLevel(LEVEL);
+    }
+
+    private static Query.Builder query() {
+        return Query.newBuilder().setLevel(LEVEL);
+    }
+
+    private static String text(String text) throws StoreFault {
+        if (!StandardCharsets.UTF_8.newEncoder().canEncode(text)) {
+            throw new StoreFault(FaultKind.MALFORMED, "text with half a character pair");
+        }
+        return text;
+    }
+}
--- /dev/null
+++ b/src/test/java/olivechute/store/MemoryStoreTest.java
@@ -0,0 +1,127 @@
+package olivechute.store;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import olivechute.fault.FaultKind;
+import olivechute.fault.StoreFault;
+import olivechute.store.Store.Changes;
+import olivechute.store.Store.Lease;
+import olivechute.store.Store.Write;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.function.Executable;
+
+/** The store in one process, as its clients see it. */
+@Timeout(60)
+class MemoryStoreTest {
+    private static final Duration TERM = Duration.ofSeconds(5);
+    private static final Duration LONG = Duration.ofSeconds(30);
+
+    private final AtomicLong clock = new AtomicLong(1000);
+    private final MemoryStore store = new MemoryStore(clock::get);
+
+    private static void refused(FaultKind kind, Executable call) {
+        assertEquals(kind, assertThrows(StoreFault.class, call).kind());
+    }
+
+    @Test
+    void whatIsWrittenIsReadWithItsVersion() throws StoreFault {
+        long version = store.write(List.of(Write.put("a/1", new byte[] {1}), Write.put("b", new byte[0])), List.of());
+        assertArrayEquals(new byte[] {1}, store.get("a/1").orElseThrow().value());
+        assertEquals(version, store.get("b").orElseThrow().version());
+        assertTrue(store.get("a").isEmpty());
+        Changes all = store.list("a/");
+        assertEquals(List.of("a/1"), all.entries().stream().map(Store.Entry::key).toList());
+        assertTrue(all.whole());
+        refused(FaultKind.CONFLICT, () -> store.write(List.of(Write.putIf("b", new byte[1], version + 1)), List.of()));
+        refused(FaultKind.CONFLICT, () -> store.write(List.of(Write.putIf("b", new byte[1], 0)), List.of()));
+        store.write(List.of(Write.putIf("b", new byte[1], version), Write.delete("a/1")), List.of());
+        assertTrue(store.list("a/").entries().isEmpty());
+    }
+
+    @Test
+    void aWatchWaitsForTheFirstChangeUnderItsPrefix() throws Exception {
+        long since = store.list("a/").version();
+        CompletableFuture<Changes> seen = CompletableFuture.supplyAsync(() -> watch("a/", since));
+        store.write(List.of(Write.put("b/1", new byte[1])), List.of());
+        assertFalse(seen.isDone());
+        store.write(List.of(Write.put("a/1", new byte[1])), List.of());
+        Changes changes = seen.get(30, TimeUnit.SECONDS);
+        assertEquals(List.of("a/1"), changes.entries().stream().map(Store.Entry::key).toList());
+        store.write(List.of(Write.delete("a/1")), List.of());
+        assertEquals(List.of("a/1"), store.watch("a/", changes.version(), LONG).removed());
+    }
+
+    @Test
+    void aWatchWithoutAChangeEndsEmpty() throws StoreFault {
+        long version = store.write(List.of(Write.put("b", new byte[1])), List.of());
+        Changes none = store.watch("a/", 0, Duration.ofMillis(1));
+        assertEquals(new Changes(version, false, List.of(), List.of()), none);
+    }
+
+    @Test
+    void aLeaseThatRunsOutTakesItsKeysAlong() throws StoreFault {
+        Lease lease = store.acquire("machine/m1", "one", TERM);
+        refused(FaultKind.LEASE_HELD, () -> store.acquire("machine/m1", "two", TERM));
+        long version = store.write(List.of(new Write("machine/m1", new byte[1], null, lease.session())), List.of(lease.fence()));
+        clock.addAndGet(4000);
+        store.renew(lease);
+        clock.addAndGet(4999);
+        store.tick();
+        assertTrue(store.get("machine/m1").isPresent());
+        clock.addAndGet(1);
+        store.tick();
+        assertEquals(List.of("machine/m1"), store.watch("machine/", version, LONG).removed());
+        refused(FaultKind.SESSION_ENDED, () -> store.renew(lease));
+        refused(FaultKind.SESSION_ENDED, () -> store.write(List.of(), List.of(lease.fence())));
+        Lease next = store.acquire("machine/m1", "two", TERM);
+        assertTrue(next.session() > lease.session());
+        refused(FaultKind.STALE_FENCE, () -> store.write(List.of(), List.of(lease.fence())));
+        store.release(lease);
+        store.write(List.of(), List.of(next.fence()));
+        store.release(next);
+        store.acquire("machine/m1", "one", TERM);
+    }
+
+    @Test
+    void aClosedStoreAnswersNobody() throws Exception {
+        CompletableFuture<Changes> waiting = new CompletableFuture<>();
+        Thread watcher = new Thread(() -> {
+            try {
+                waiting.complete(store.watch("a", 0, LONG));
+            } catch (StoreFault e) {
+                waiting.completeExceptionally(e);
+            }
+        });
+        watcher.start();
+        store.close();
+        watcher.join();
+        assertTrue(waiting.isCompletedExceptionally());
+        refused(FaultKind.NOT_REACHED, () -> store.get("a"));
+        refused(FaultKind.NOT_REACHED, () -> store.write(List.of(), List.of()));
+    }
+
+    @Test
+    void textThatCannotBeSentIsMalformed() {
+        refused(FaultKind.MALFORMED, () -> store.get("a\ud800"));
+        refused(FaultKind.MALFORMED, () -> store.write(List.of(Write.put("", new byte[0])), List.of()));
+        refused(FaultKind.MALFORMED, () -> store.write(List.of(Write.put("a", new byte[0]), Write.delete("a")), List.of()));
+    }
+
+    private Changes watch(String prefix, long since) {
+        try {
+            return store.watch(prefix, since, LONG);
+        } catch (StoreFault e) {
+            throw new AssertionError(e);
+        }
+    }
+}
