--- a/src/main/java/olivechute/store/StoreMachine.java
+++ b/src/main/java/olivechute/store/StoreMachine.java
@@ -45,9 +45,10 @@
     }
 
     /**
-     * Applies a command: first ends the leases that ran out by its clock, then does what it says or refuses it. A command that is
-     * refused as LEVEL_TOO_LOW or MALFORMED as a whole moves not even the clock.
+     * Applies a command: first ends the leases that ran out by its clock, then does what it says or refuses it. A command above the
+     * group's level, or of a kind that it does not know, is refused as LEVEL_TOO_LOW and moves not even the clock.
      *
+     * @param index the command's place in the log, which the next state carries
      * @throws StoreFault LEVEL_TOO_LOW where the group's level is above what this program knows: it must stop here, since from now on
      *     it might decide otherwise than the others
      */
@@ -68,7 +69,7 @@
 
     /** Answers from a state; a watch is not waited for. {@code status} leaves out what only the replica itself knows. */
     public Reply query(StoreState state, Query query) {
-        if (query.getLevel() <= known) {
+        if (Integer.compareUnsigned(query.getLevel(), known) <= 0) {
             switch (query.getWhatCase()) {
                 case GET:
                     return Queries.get(state, query.getGet());
@@ -82,8 +83,8 @@
                     break;
             }
         }
-        return StoreMessages.refusal(FaultKind.LEVEL_TOO_LOW, "a query of level " + query.getLevel() + " that level " + known
-            + " does not know", state.version());
+        return StoreMessages.refusal(FaultKind.LEVEL_TOO_LOW, "a query of level " + Integer.toUnsignedString(query.getLevel())
+            + " that level " + known + " does not know", state.version());
     }
 
     private static void understand(StoreState state, Command command) throws Refused {
--- a/src/main/java/olivechute/store/WatchBook.java
+++ b/src/main/java/olivechute/store/WatchBook.java
@@ -59,11 +59,11 @@
         return added.answer;
     }
 
-    /** Answers the watches that a new state has something for. An older state than the last one is passed over. */
+    /** Answers the watches that a new state has something for. One that is not newer than the last is passed over. */
     public void onChange(StoreState state) {
         Map<Waiting, Reply> due;
         synchronized (this) {
-            if (state.version() < latest.version()) {
+            if (state.version() <= latest.version()) {
                 return;
             }
             latest = state;
--- /dev/null
+++ b/src/test/java/olivechute/store/WatchPropertyTest.java
@@ -0,0 +1,162 @@
+package olivechute.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.ByteString;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import olivechute.store.wire.Entry;
+import olivechute.store.wire.Reply;
+import org.junit.jupiter.api.Test;
+
+/** A watcher that goes on from the version it was told misses nothing, however late it comes. */
+class WatchPropertyTest {
+    private static final long FIRST_SEED = 20261202;
+    private static final int SEEDS = 300;
+    private static final int COMMANDS = 200;
+
+    private final StoreMachine machine = new StoreMachine(CommandMaker.TIGHT, 2);
+    private int whole;
+    private int parts;
+
+    @Test
+    void aWatchThatGoesOnSeesEveryChange() throws Exception {
+        System.out.println("watch seeds from " + FIRST_SEED + ", " + SEEDS + " of them");
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+            follow(seed);
+        }
+        assertTrue(whole > 100 && parts > 1000, whole + " whole answers, " + parts + " partial ones");
+    }
+
+    private void follow(long seed) throws Exception {
+        CommandMaker maker = new CommandMaker(seed);
+        Random random = new Random(seed);
+        StoreState state = StoreState.EMPTY;
+        Map<String, Entry> seen = new TreeMap<>();
+        long since = 0;
+        int pace = 1 + random.nextInt(20);
+        for (int i = 1; i <= COMMANDS; i++) {
+            state = machine.apply(state, maker.next(state), i).state();
+            if (random.nextInt(60) == 0) {
+                state = StateChecks.restored(StateChecks.file(state, 64));
+            }
+            if (random.nextInt(pace) > 0) {
+                continue;
+            }
+            String where = "seed " + seed + ", after command " + i;
+            Reply reply = Queries.watch(state, "a/", since);
+            Map<String, Entry> truth = list(state);
+            check(reply, seen, truth, since, where);
+            take(reply, seen);
+            assertEquals(truth, seen, where);
+            assertEquals(state.version(), reply.getVersion(), where);
+            since = reply.getVersion();
+        }
+    }
+
+    /** Exactly what differs and was there or is there, in order; a key that came and went since may be named as gone. */
+    private void check(Reply reply, Map<String, Entry> seen, Map<String, Entry> truth, long since, String where) {
+        long last = reply.getWhole() ? 0 : since + 1;
+        TreeSet<String> changed = new TreeSet<>();
+        for (Entry entry : reply.getEntriesList()) {
+            assertTrue(reply.getWhole() || entry.getVersion() >= last, where + ": out of order");
+            last = entry.getVersion();
+            changed.add(entry.getKey());
+        }
+        if (reply.getWhole()) {
+            whole++;
+            return;
+        }
+        parts++;
+        TreeSet<String> expected = new TreeSet<>();
+        truth.forEach((key, entry) -> {
+            if (!entry.equals(seen.get(key))) {
+                expected.add(key);
+            }
+        });
+        assertEquals(expected, changed, where);
+    }
+
+    private static void take(Reply reply, Map<String, Entry> seen) {
+        if (reply.getWhole()) {
+            seen.clear();
+        }
+        reply.getEntriesList().forEach(entry -> seen.put(entry.getKey(), entry));
+        reply.getRemovedList().forEach(seen::remove);
+    }
+
+    private static Map<String, Entry> list(StoreState state) {
+        Map<String, Entry> all = new TreeMap<>();
+        state.entries().forEach((key, stored) -> {
+            if (key.startsWith("a/")) {
+                all.put(key, Entry.newBuilder().setKey(key).setValue(stored.value()).setVersion(stored.version()).build());
+            }
+        });
+        return all;
+    }
+
+    /** The same through the book: it answers at the first state that has something, and loses nothing while its watch is not waiting. */
+    @Test
+    void theBookWakesWhoeverHasSomethingToSee() throws Exception {
+        System.out.println("book seeds from " + FIRST_SEED + ", " + SEEDS + " of them");
+        int woken = 0;
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+            CommandMaker maker = new CommandMaker(seed);
+            Random random = new Random(seed);
+            StoreState state = StoreState.EMPTY;
+            WatchBook book = new WatchBook(CommandMaker.TIGHT, state);
+            Map<String, Entry> seen = new TreeMap<>();
+            long since = 0;
+            CompletableFuture<Reply> waiting = book.register("a/", since, 50);
+            for (int i = 1; i <= COMMANDS; i++) {
+                String where = "seed " + seed + ", after command " + i;
+                Map<String, Entry> before = list(state);
+                state = machine.apply(state, maker.next(state), i).state();
+                book.onChange(state);
+                if (waiting != null) {
+                    assertTrue(waiting.isDone() || before.equals(list(state)), where + ": slept through a change");
+                }
+                if (random.nextInt(30) == 0) {
+                    book.expire(i);
+                }
+                if (waiting == null && random.nextInt(6) == 0) {
+                    waiting = book.register("a/", since, i + 20);
+                }
+                if (waiting != null && waiting.isDone()) {
+                    take(waiting.join(), seen);
+                    assertEquals(list(state), seen, where);
+                    woken++;
+                    since = waiting.join().getVersion();
+                    waiting = null;
+                }
+            }
+            assertTrue(book.size() <= 1, "seed " + seed);
+        }
+        assertTrue(woken > 1000, woken + " answers");
+    }
+
+    @Test
+    void theBookTakesSoManyAndNoMore() {
+        WatchBook book = new WatchBook(CommandMaker.TIGHT, StoreState.EMPTY);
+        CompletableFuture<Reply> first = book.register("a", 0, 100);
+        CompletableFuture<Reply> second = book.register("b", 0, 200);
+        assertEquals("TOO_MANY", book.register("c", 0, 100).join().getRefusal().getKind());
+        first.cancel(false);
+        CompletableFuture<Reply> third = book.register("c", 0, 100);
+        assertEquals(2, book.size());
+        book.expire(99);
+        assertTrue(!third.isDone() && !second.isDone());
+        book.expire(100);
+        assertEquals(Reply.getDefaultInstance(), third.join());
+        assertTrue(!second.isDone());
+        Draft draft = new Draft(StoreState.EMPTY, CommandMaker.TIGHT);
+        draft.put("b", ByteString.EMPTY, 0);
+        book.onChange(draft.done());
+        assertEquals("b", second.join().getEntries(0).getKey());
+        assertEquals(0, book.size());
+    }
+}
