--- a/src/main/java/olivechute/FleetLoader.java
+++ b/src/main/java/olivechute/FleetLoader.java
@@ -21,6 +21,8 @@
 
     /** Runs a command line; returns the exit status. */
     static int run(String... args) {
+        // The consensus tells each step of its own at the level at which ours tells what an operator wants to see.
+        System.setProperty("tinylog.level@org.apache.ratis", System.getProperty("tinylog.level@org.apache.ratis", "warn"));
         try {
             File own = new File(FleetLoader.class.getProtectionDomain().getCodeSource().getLocation().toURI());
             File[] libraries = new File(own.getParentFile(), "lib").listFiles((folder, name) -> name.endsWith(".jar"));
--- /dev/null
+++ b/src/main/java/olivechute/store/raft/Member.java
@@ -0,0 +1,119 @@
+package olivechute.store.raft;
+
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import olivechute.fault.StoreFault;
+import olivechute.store.StoreMachine;
+import olivechute.store.StoreMessages;
+import olivechute.store.wire.Command;
+import olivechute.store.wire.Reply;
+import org.apache.ratis.protocol.ClientId;
+import org.apache.ratis.protocol.Message;
+import org.apache.ratis.protocol.RaftClientReply;
+import org.apache.ratis.protocol.RaftClientRequest;
+import org.apache.ratis.protocol.RaftGroup;
+import org.apache.ratis.protocol.RaftPeerId;
+import org.apache.ratis.protocol.SnapshotManagementRequest;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.storage.RaftStorage;
+import org.apache.ratis.thirdparty.com.google.protobuf.UnsafeByteOperations;
+import org.tinylog.Logger;
+
+/** The consensus of one replica between a start and an end of it; trouble at the disk ends one and begins the next. */
+final class Member implements AutoCloseable {
+    private static final int SNAPSHOT_WITHIN_MS = 60_000;
+
+    private final ReplicaSettings settings;
+    private final RaftGroup group;
+    private final RaftPeerId id;
+    private final ClientId caller = ClientId.randomId();
+    private final AtomicLong calls = new AtomicLong();
+    private final Supplier<String> disk;
+    private final Snapshots snapshots;
+    private final RatisMachine machine;
+    private final RaftServer server;
+    private volatile boolean announced;
+    private CompletableFuture<RaftClientReply> asked = CompletableFuture.completedFuture(null);
+
+    Member(ReplicaSettings settings, Folder folder, RatisMachine.Listener listener, Supplier<String> disk) throws IOException {
+        this.settings = settings;
+        this.disk = disk;
+        group = Wiring.group(settings.region(), settings.replicas());
+        id = RaftPeerId.valueOf(settings.id());
+        snapshots = new Snapshots(folder.path().resolve("snapshot.tmp"), settings.snapshotEvery(), this::snapshot);
+        machine = new RatisMachine(new StoreMachine(Replica.bounds(settings)), snapshots, System::currentTimeMillis, this::status, listener);
+        server = RaftServer.newBuilder().setServerId(id).setGroup(group).setStateMachine(machine)
+            .setOption(RaftStorage.StartupOption.RECOVER).setProperties(Wiring.server(settings, folder.log())).build();
+    }
+
+    void start() throws IOException {
+        server.start();
+    }
+
+    private CompletableFuture<?> snapshot() {
+        return server.snapshotManagementAsync(SnapshotManagementRequest.newCreate(caller, id, group.getGroupId(),
+            calls.incrementAndGet(), SNAPSHOT_WITHIN_MS, 1));
+    }
+
+    private Reply status(Reply reply) {
+        return reply.toBuilder().setStatus(reply.getStatus().toBuilder().setReplica(settings.id()).setLead(lead()).setDisk(disk.get()))
+            .build();
+    }
+
+    private String lead() {
+        try {
+            RaftPeerId lead = server.getDivision(group.getGroupId()).getInfo().getLeaderId();
+            return lead == null ? "" : lead.toString();
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    long term() {
+        try {
+            return server.getDivision(group.getGroupId()).getInfo().getCurrentTerm();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    private boolean leadsNow() {
+        try {
+            return server.getDivision(group.getGroupId()).getInfo().isLeaderReady();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** A quarter of a second has passed: watches end, and where this replica leads, leases do. */
+    void tick() {
+        machine.expireWatches();
+        if (leadsNow() && asked.isDone() && machine.leases() > 0) {
+            submit(StoreMessages.tick());
+        }
+    }
+
+    private void submit(Command command) {
+        try {
+            asked = server.submitClientRequestAsync(RaftClientRequest.newBuilder().setClientId(caller).setServerId(id)
+                .setGroupId(group.getGroupId()).setCallId(calls.incrementAndGet())
+                .setMessage(Message.valueOf(UnsafeByteOperations.unsafeWrap(command.toByteArray())))
+                .setType(RaftClientRequest.writeRequestType()).build());
+        } catch (IOException e) {
+            Logger.debug("not asked: {}", e.toString());
+        }
+    }
+
+    @Override
+    public void close() {
+        machine.endWatches();
+        try {
+            server.close();
+        } catch (IOException e) {
+            Logger.warn("consensus not closed: {}", e.toString());
+        }
+        snapshots.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/store/raft/RatisMachine.java
@@ -0,0 +1,215 @@
+package olivechute.store.raft;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import java.util.function.UnaryOperator;
+import olivechute.fault.FaultKind;
+import olivechute.fault.FleetFault;
+import olivechute.fault.StoreFault;
+import olivechute.store.Applied;
+import olivechute.store.StoreMachine;
+import olivechute.store.StoreMessages;
+import olivechute.store.StoreState;
+import olivechute.store.WatchBook;
+import olivechute.store.wire.Command;
+import olivechute.store.wire.Query;
+import olivechute.store.wire.Reply;
+import org.apache.ratis.proto.RaftProtos.LogEntryProto;
+import org.apache.ratis.protocol.Message;
+import org.apache.ratis.protocol.RaftClientRequest;
+import org.apache.ratis.protocol.RaftGroupId;
+import org.apache.ratis.protocol.RaftGroupMemberId;
+import org.apache.ratis.protocol.RaftPeerId;
+import org.apache.ratis.protocol.exceptions.StateMachineException;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.protocol.TermIndex;
+import org.apache.ratis.server.storage.RaftStorage;
+import org.apache.ratis.statemachine.SnapshotInfo;
+import org.apache.ratis.statemachine.StateMachineStorage;
+import org.apache.ratis.statemachine.TransactionContext;
+import org.apache.ratis.statemachine.impl.BaseStateMachine;
+import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
+import org.apache.ratis.thirdparty.com.google.protobuf.UnsafeByteOperations;
+import org.apache.ratis.util.LifeCycle;
+
+/** Between the consensus and the store's own state machine: bytes to commands, and the state into snapshots and back. */
+final class RatisMachine extends BaseStateMachine {
+    /** Longest that one call waits for a change; a longer watch is several calls. */
+    static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
+
+    /** What a replica wants to know of it; called on threads of the consensus, which must not be held up. */
+    interface Listener {
+        void leads();
+
+        void leadsNoMore();
+
+        void follows(RaftPeerId lead);
+
+        void logFailed(Throwable cause);
+
+        /** Nothing more is applied: going on would part this replica from the others. */
+        void cannotGoOn(FleetFault fault);
+    }
+
+    private final StoreMachine machine;
+    private final WatchBook watches;
+    private final Snapshots snapshots;
+    private final LongSupplier clockMs;
+    private final UnaryOperator<Reply> status;
+    private final Listener listener;
+    private volatile StoreState state = StoreState.EMPTY;
+    private volatile boolean stopped;
+
+    /** {@code status}: adds what only the replica knows to a status reply. */
+    RatisMachine(StoreMachine machine, Snapshots snapshots, LongSupplier clockMs, UnaryOperator<Reply> status, Listener listener) {
+        this.machine = machine;
+        this.snapshots = snapshots;
+        this.clockMs = clockMs;
+        this.status = status;
+        this.listener = listener;
+        watches = new WatchBook(machine.bounds(), state);
+    }
+
+    /** Leases held now. */
+    long leases() {
+        return machine.query(state, StoreMessages.status()).getStatus().getSessions();
+    }
+
+    /** Answers the watches that have waited long enough. */
+    void expireWatches() {
+        watches.expire(clockMs.getAsLong());
+    }
+
+    /** Answers all watches, as nothing more will change here. */
+    void endWatches() {
+        watches.expire(Long.MAX_VALUE);
+    }
+
+    @Override
+    public void initialize(RaftServer server, RaftGroupId group, RaftStorage storage) throws IOException {
+        super.initialize(server, group, storage);
+        snapshots.open(storage);
+        getLifeCycle().startAndTransition(this::load);
+    }
+
+    @Override
+    public void pause() {
+        getLifeCycle().transition(LifeCycle.State.PAUSING);
+        getLifeCycle().transition(LifeCycle.State.PAUSED);
+    }
+
+    @Override
+    public void reinitialize() throws IOException {
+        getLifeCycle().startAndTransition(this::load);
+    }
+
+    private void load() throws IOException {
+        Snapshots.Loaded loaded = snapshots.load();
+        if (loaded != null) {
+            state = loaded.state();
+            setLastAppliedTermIndex(loaded.upTo());
+            watches.onChange(state);
+        }
+    }
+
+    @Override
+    public TransactionContext startTransaction(RaftClientRequest request) {
+        TransactionContext.Builder transaction = TransactionContext.newBuilder().setStateMachine(this).setClientRequest(request);
+        try {
+            Command command = Command.parseFrom(request.getMessage().getContent().asReadOnlyByteBuffer());
+            byte[] stamped = StoreMessages.stamped(command, clockMs.getAsLong()).toByteArray();
+            return transaction.setLogData(UnsafeByteOperations.unsafeWrap(stamped)).build();
+        } catch (InvalidProtocolBufferException e) {
+            return transaction.build().setException(new StateMachineException("a command that cannot be read: " + e.getMessage()));
+        }
+    }
+
+    @Override
+    public CompletableFuture<Message> applyTransaction(TransactionContext transaction) {
+        LogEntryProto entry = transaction.getLogEntry();
+        if (stopped) {
+            return CompletableFuture.failedFuture(new StateMachineException("the replica cannot go on"));
+        }
+        Reply reply;
+        try {
+            Command command = Command.parseFrom(entry.getStateMachineLogEntry().getLogData().asReadOnlyByteBuffer());
+            Applied applied = machine.apply(state, command, entry.getIndex());
+            state = applied.state();
+            reply = applied.reply();
+        } catch (InvalidProtocolBufferException e) {
+            reply = StoreMessages.refusal(FaultKind.MALFORMED, "a command that cannot be read: " + e.getMessage(), state.version());
+        } catch (StoreFault e) {
+            stopped = true;
+            listener.cannotGoOn(e);
+            return CompletableFuture.failedFuture(new StateMachineException("the replica cannot go on: " + e.getMessage()));
+        }
+        updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
+        watches.onChange(state);
+        snapshots.onApplied(state, TermIndex.valueOf(entry));
+        return CompletableFuture.completedFuture(message(reply));
+    }
+
+    @Override
+    public CompletableFuture<Message> query(Message request) {
+        Query query;
+        try {
+            query = Query.parseFrom(request.getContent().asReadOnlyByteBuffer());
+        } catch (InvalidProtocolBufferException e) {
+            return CompletableFuture.completedFuture(message(StoreMessages.refusal(FaultKind.MALFORMED,
+                "a query that cannot be read: " + e.getMessage(), state.version())));
+        }
+        if (query.hasWatch() && query.getLevel() <= machine.known()) {
+            long wait = Math.min(Integer.toUnsignedLong(query.getWatch().getWaitMs()), LONGEST_WAIT.toMillis());
+            return watches.register(query.getWatch().getPrefix(), query.getWatch().getSince(), clockMs.getAsLong() + wait)
+                .thenApply(RatisMachine::message);
+        }
+        Reply reply = machine.query(state, query);
+        return CompletableFuture.completedFuture(message(query.hasStatus() && !reply.hasRefusal() ? status.apply(reply) : reply));
+    }
+
+    @Override
+    public long takeSnapshot() throws IOException {
+        return snapshots.settle();
+    }
+
+    @Override
+    public StateMachineStorage getStateMachineStorage() {
+        return snapshots.storage();
+    }
+
+    @Override
+    public SnapshotInfo getLatestSnapshot() {
+        return snapshots.storage().getLatestSnapshot();
+    }
+
+    @Override
+    public void notifyLeaderChanged(RaftGroupMemberId member, RaftPeerId lead) {
+        if (lead != null && !lead.equals(member.getPeerId())) {
+            listener.follows(lead);
+        }
+    }
+
+    @Override
+    public void notifyLeaderReady() {
+        listener.leads();
+    }
+
+    @Override
+    public void notifyNotLeader(Collection<TransactionContext> pending) {
+        listener.leadsNoMore();
+    }
+
+    @Override
+    public void notifyLogFailed(Throwable cause, LogEntryProto failed) {
+        listener.logFailed(cause);
+    }
+
+    static Message message(Reply reply) {
+        ByteString bytes = UnsafeByteOperations.unsafeWrap(reply.toByteArray());
+        return Message.valueOf(bytes);
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/store/raft/ReplicaSettings.java
@@ -0,0 +1,102 @@
+package olivechute.store.raft;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Pattern;
+import olivechute.config.Address;
+import olivechute.config.Hocon;
+import olivechute.fault.FaultKind;
+import olivechute.fault.SettingsFault;
+import olivechute.store.ReplicaAddress;
+
+/**
+ * Settings of one replica; deploy/store.conf tells each key.
+ *
+ * @param region parts groups of replicas with the same ids; clients must name the same one
+ * @param quotaBytes most that the folder may hold, 0 for no bound of ours
+ * @param snapshotEvery log entries after which a snapshot is taken
+ */
+public record ReplicaSettings(String region, String id, Path folder, List<ReplicaAddress> replicas, long quotaBytes, Duration electionLeast,
+    Duration electionMost, int snapshotEvery, int segmentBytes, int keys, long bytes, int valueBytes, int leases, int watches) {
+    private static final int MIB = 1024 * 1024;
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9_.-]{0,62}");
+
+    /** Reads a file; SETTINGS_INVALID names every fault in it. */
+    public static ReplicaSettings load(Path file) throws SettingsFault {
+        try {
+            return parse(Files.readString(file));
+        } catch (IOException e) {
+            throw new SettingsFault(FaultKind.SETTINGS_INVALID, file + " cannot be read", e);
+        }
+    }
+
+    /** Reads a text in HOCON. */
+    public static ReplicaSettings parse(String text) throws SettingsFault {
+        List<String> faults = new ArrayList<>();
+        Hocon root = Hocon.parse(text, faults);
+        List<ReplicaAddress> replicas = replicas(root);
+        Hocon election = root.node("election");
+        Duration least = election.duration("least", Duration.ofMillis(600), Duration.ofMillis(100), Duration.ofSeconds(30));
+        Duration most = election.duration("most", Duration.ofMillis(1_000), Duration.ofMillis(150), Duration.ofSeconds(60));
+        if (most.compareTo(least) <= 0) {
+            election.wrong("most", "must be longer than least");
+        }
+        election.close();
+        Hocon log = root.node("log");
+        int snapshotEvery = log.integer("snapshot_every", 20_000, 100, 10_000_000);
+        int segment = log.integer("segment_mb", 2, 1, 16) * MIB;
+        log.close();
+        Hocon bounds = root.node("bounds");
+        ReplicaSettings settings = new ReplicaSettings(root.has("region") ? name(root, "region") : "", name(root, "id"), Path.of(root.needed("folder")), replicas,
+            (long) root.integer("quota_mb", 0, 0, 1 << 20) * MIB, least, most, snapshotEvery, segment,
+            bounds.integer("keys", 20_000, 1, 1_000_000), (long) bounds.integer("total_mb", 16, 1, 1024) * MIB,
+            bounds.integer("value_kb", 512, 1, 2048) * 1024, bounds.integer("leases", 1_000, 1, 100_000),
+            bounds.integer("watches", 500, 1, 10_000));
+        bounds.close();
+        root.close();
+        if (faults.isEmpty() && replicas.stream().noneMatch(r -> r.id().equals(settings.id()))) {
+            root.wrong("id", "must be one of the replicas");
+        }
+        if (!faults.isEmpty()) {
+            throw new SettingsFault(FaultKind.SETTINGS_INVALID, String.join("; ", faults));
+        }
+        return settings;
+    }
+
+    private static List<ReplicaAddress> replicas(Hocon root) {
+        List<ReplicaAddress> replicas = new ArrayList<>();
+        Set<String> seen = new HashSet<>();
+        for (Hocon each : root.nodes("replicas")) {
+            ReplicaAddress replica = new ReplicaAddress(name(each, "id"), each.needed("address"));
+            each.meaning("address", key -> Address.parse(key, replica.address()));
+            if (!seen.add(replica.id()) | !seen.add(replica.address())) {
+                each.wrong("id", "each replica needs an id and an address of its own");
+            }
+            each.close();
+            replicas.add(replica);
+        }
+        if (replicas.isEmpty()) {
+            root.wrong("replicas", "must name at least one replica");
+        }
+        return List.copyOf(replicas);
+    }
+
+    private static String name(Hocon from, String key) {
+        String name = from.needed(key);
+        if (!name.isEmpty() && !NAME.matcher(name).matches()) {
+            from.wrong(key, "must be letters, digits, dots, dashes or underscores, at most 63");
+        }
+        return name;
+    }
+
+    /** Where this replica listens. */
+    public ReplicaAddress own() {
+        return replicas.stream().filter(r -> r.id().equals(id)).findFirst().orElseThrow();
+    }
+}
