Decide how a change goes through its stages, without I/O

Need: the driver in the leading replica asks once a second what to do with a change. Weighed: state in the object against all state in Progress; taken the latter, so that a new lead goes on from the store alone.

--- /dev/null
+++ b/src/main/java/olivechute/rollout/Rollout.java
@@ -0,0 +1,297 @@
+package olivechute.rollout;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import olivechute.fault.ChangeFault;
+
+/**
+ * Decides how a change goes on. Pure: the same arguments give the same decision, and all that it goes by lies in {@link Progress}. Times in
+ * ms since the epoch. {@link #step} is to be called about once a second while the change has not ended.
+ */
+public final class Rollout {
+    private final Progress progress;
+    private final Change change;
+    private final Evidence evidence;
+    private final boolean anew;
+    private final Collection<NodeStatus> nodes;
+    private final long now;
+    private final Set<String> moved;
+    private final Pace pace;
+
+    private Rollout(Progress progress, Collection<NodeStatus> nodes, long now) {
+        this.progress = progress;
+        this.change = progress.change();
+        this.nodes = nodes;
+        this.now = now;
+        moved = new TreeSet<>(progress.moved());
+        pace = new Pace(change, nodes, moved);
+        Optional<Evidence> read = EvidenceCodec.decode(progress.evidence());
+        evidence = read.orElseGet(Evidence::new);
+        anew = read.isEmpty() && progress.evidence().length > 0;
+    }
+
+    /**
+     * The next state and the orders that go out with it. {@code nodes}: all that any supervisor told of, each once; {@code figures}: the
+     * newest of each node. An ended change stays as it is, without orders.
+     */
+    public static Decision step(Progress progress, Collection<NodeStatus> nodes, Collection<Figures> figures, Worths worths, long now) {
+        if (progress.phase().ended()) {
+            return new Decision(progress, Map.of());
+        }
+        return new Rollout(progress, nodes, now).step(figures, worths);
+    }
+
+    /** Stops moving until {@link #resume}; harm still takes the new nodes back. Faults: CHANGE_UNKNOWN, CHANGE_INVALID. */
+    public static Progress pause(Progress progress, long now) throws ChangeFault {
+        return Orders.pause(progress, now);
+    }
+
+    /**
+     * Goes on after a pause, or past a stage that is held for too little evidence, by the operator's own judgement; where nothing stands
+     * still nothing changes. Faults: CHANGE_UNKNOWN, CHANGE_INVALID.
+     */
+    public static Progress resume(Progress progress, long now) throws ChangeFault {
+        return Orders.resume(progress, now);
+    }
+
+    /** Takes the new nodes back; ends at once where none moved. Fault: CHANGE_UNKNOWN. */
+    public static Progress stop(Progress progress, long now) throws ChangeFault {
+        return Orders.stop(progress, now);
+    }
+
+    /** Faults (CHANGE_INVALID) that a change has for a fleet of so many nodes; empty for none. */
+    public static List<ChangeFault> check(Change change, int known) {
+        return ChangeCheck.check(change, known);
+    }
+
+    private Decision step(Collection<Figures> all, Worths worths) {
+        Map<String, Figures> figures = new HashMap<>();
+        all.forEach(one -> figures.put(one.node(), one));
+        HardStops.await(change, nodes, moved, evidence, now);
+        if (progress.phase() == Phase.ROLLING_BACK) {
+            return rollBack();
+        }
+        Optional<String> stop = HardStops.found(change, nodes, figures, moved, evidence, now);
+        if (stop.isEmpty()) {
+            new Collector(evidence, change, moved, worths).collect(nodes, figures, moved.isEmpty(), now);
+            stop = comparison().worse();
+        }
+        if (stop.isPresent() && !moved.isEmpty()) {
+            evidence.cause = stop.get();
+            return decide(Phase.ROLLING_BACK, now, stop.get());
+        }
+        return switch (progress.phase()) {
+            case PROPOSED -> proposed();
+            case MOVING -> moving();
+            case WATCHING -> watching();
+            case HELD -> held();
+            default -> stay(progress.reason());
+        };
+    }
+
+    private Comparison comparison() {
+        return new Comparison(evidence, moved, change.stages().size(), now);
+    }
+
+    private Stage stage() {
+        return change.stages().get(progress.stage());
+    }
+
+    private boolean last() {
+        return progress.stage() == change.stages().size() - 1;
+    }
+
+    private int wanted() {
+        return last() ? nodes.size() : Placement.size(stage(), nodes.size());
+    }
+
+    /** Learns for as long as the first stage is watched at least how the nodes usually differ. */
+    private Decision proposed() {
+        long age = now - progress.stageSince();
+        boolean figures = evidence.nodes.values().stream().anyMatch(node -> evidence.series() > 0 && node.hasBase(0));
+        if (age >= stage().leastMs() && figures) {
+            return decide(Phase.MOVING, now, "stage 1: brings " + wanted() + " of " + nodes.size() + " nodes to the new version");
+        }
+        if (age >= stage().longestMs() && !figures) {
+            evidence.held = Evidence.Held.FIGURES;
+            return decide(Phase.HELD, progress.stageSince(), "no node told figures for " + age / 1000 + " s, nothing has moved");
+        }
+        return stay("learns how the nodes usually differ, for " + stage().leastMs() / 1000 + " s");
+    }
+
+    private Decision moving() {
+        pace.align(moved);
+        int there = 0;
+        boolean onWay = false;
+        for (NodeStatus node : nodes) {
+            boolean is = moved.contains(node.node());
+            there += is && !Pace.away(node) && change.to().equals(node.version()) ? 1 : 0;
+            onWay |= is && Pace.away(node);
+        }
+        for (NodeStatus node : Placement.next(change.id(), nodes, moved)) {
+            if (moved.size() >= wanted() || pace.full()) {
+                break;
+            }
+            if (!Pace.away(node) && pace.order(node, change.to())) {
+                move(node.node());
+                onWay = true;
+            }
+        }
+        String aim = "stage " + (progress.stage() + 1) + ": " + there + " of " + wanted() + " nodes serve the new version";
+        if (moved.size() >= wanted() && !onWay) {
+            return decide(Phase.WATCHING, now, aim + ", compares them with the old ones");
+        }
+        if (!onWay && (pace.full() || pace.orders().isEmpty())) {
+            evidence.held = Evidence.Held.AWAY;
+            return decide(Phase.HELD, progress.stageSince(), aim + ", " + awayText());
+        }
+        return stay(aim + (pace.full() ? ", " + pace.away() + " away of at most " + change.mostAway() : ""));
+    }
+
+    private void move(String name) {
+        moved.add(name);
+        if (evidence.since == 0) {
+            evidence.since = now;
+        }
+        evidence.waiting.put(name, now);
+        NodeEvidence node = evidence.nodes.get(name);
+        if (node != null) {
+            node.nextStage(true);
+            node.edge = null;
+        }
+    }
+
+    private String awayText() {
+        return pace.away() + " nodes are away, " + change.mostAway() + " may be: nothing moves until they are back";
+    }
+
+    private Decision watching() {
+        if (pace.full()) {
+            evidence.held = Evidence.Held.AWAY;
+            return decide(Phase.HELD, progress.stageSince(), awayText());
+        }
+        Optional<String> missing = missing();
+        if (missing.isEmpty()) {
+            return advance("");
+        }
+        if (now - progress.stageSince() >= stage().longestMs()) {
+            evidence.held = Evidence.Held.EVIDENCE;
+            return decide(Phase.HELD, progress.stageSince(), "too little evidence after " + stage().longestMs() / 1000 + " s: " + missing.get());
+        }
+        return stay("stage " + (progress.stage() + 1) + " watches: " + missing.get());
+    }
+
+    /** What the stage lacks to pass, as a clause. */
+    private Optional<String> missing() {
+        if (now - progress.stageSince() < stage().leastMs()) {
+            return Optional.of((now - progress.stageSince()) / 1000 + " of at least " + stage().leastMs() / 1000 + " s");
+        }
+        if (evidence.jobs() < stage().leastJobs() || evidence.jobs() == 0) {
+            return Optional.of(evidence.jobs() + " of at least " + Math.max(1, stage().leastJobs()) + " jobs ended at new nodes");
+        }
+        boolean alone = progress.stage() > 0 && nodes.stream().allMatch(node -> moved.contains(node.node()));
+        return alone ? Optional.empty() : comparison().open();
+    }
+
+    private Decision held() {
+        if (evidence.held == Evidence.Held.FIGURES) {
+            Decision as = proposed();
+            return as.next().phase() == Phase.MOVING ? as : stay(progress.reason());
+        }
+        if (evidence.held != Evidence.Held.EVIDENCE) {
+            boolean strays = moved.size() < wanted() && Placement.next(change.id(), nodes, moved).stream().allMatch(Pace::away);
+            return pace.full() || strays ? stay(awayText()) : decide(Phase.MOVING, progress.stageSince(), "the nodes are back, goes on");
+        }
+        if (pace.full()) {
+            return stay(awayText());
+        }
+        if (evidence.vouched) {
+            return advance(" by an operator's word");
+        }
+        Optional<String> missing = missing();
+        return missing.isEmpty() ? advance("") : stay("too little evidence: " + missing.get());
+    }
+
+    private Decision advance(String how) {
+        String passed = "stage " + (progress.stage() + 1) + " passed" + how + " with " + evidence.jobs() + " jobs at new nodes";
+        if (!last()) {
+            evidence.nextStage(moved);
+            return decide(progress.stage() + 1, Phase.MOVING, now, passed);
+        }
+        if (nodes.stream().allMatch(node -> moved.contains(node.node()))) {
+            evidence.compare(List.of());
+            evidence.nodes.clear();
+            return decide(Phase.DONE, now, passed + ", all " + moved.size() + " nodes run the new version");
+        }
+        return decide(Phase.MOVING, now, passed + ", nodes that joined are left");
+    }
+
+    /** Those away first, as it costs nothing; then as many as the pace allows. */
+    private Decision rollBack() {
+        Map<String, String> orders = new HashMap<>();
+        Set<String> left = new TreeSet<>(moved);
+        Map<String, NodeStatus> known = new HashMap<>();
+        nodes.forEach(node -> known.put(node.node(), node));
+        for (boolean away : new boolean[] {true, false}) {
+            for (String name : moved) {
+                NodeStatus node = known.get(name);
+                if (node == null && away) {
+                    orders.put(name, change.from());
+                    left.remove(name);
+                } else if (node != null && away == Pace.away(node) && pace.order(node, change.from())) {
+                    left.remove(name);
+                }
+            }
+        }
+        pace.align(left);
+        orders.putAll(pace.orders());
+        String cause = evidence.cause.isEmpty() ? progress.reason() : evidence.cause;
+        String late = "";
+        boolean open = !left.isEmpty() || !orders.isEmpty();
+        for (NodeStatus node : nodes) {
+            Long since = evidence.waiting.get(node.node());
+            boolean slow = since != null && now - since > change.readyWithinMs();
+            open |= node.reachable() && Pace.away(node) && !slow;
+            late = slow && late.isEmpty() ? "; node " + node.node() + " is not ready " + (now - since) / 1000 + " s after it was to be" : late;
+        }
+        moved.retainAll(left);
+        evidence.cause = cause;
+        if (!open) {
+            evidence.compare(List.of());
+            evidence.nodes.clear();
+            return new Decision(next(progress.stage(), Phase.STOPPED, now, cause + late), Map.of());
+        }
+        String reason = cause + (left.isEmpty() ? "" : "; " + left.size() + " nodes are still to be taken back") + late;
+        return new Decision(next(progress.stage(), Phase.ROLLING_BACK, progress.stageSince(), reason), Map.copyOf(orders));
+    }
+
+    private Decision stay(String reason) {
+        return decide(progress.phase(), progress.stageSince(), reason);
+    }
+
+    private Decision decide(Phase phase, long since, String reason) {
+        return decide(progress.stage(), phase, since, reason);
+    }
+
+    private Decision decide(int stage, Phase phase, long since, String reason) {
+        if (phase == Phase.ROLLING_BACK || phase == Phase.DONE) {
+            return new Decision(next(stage, phase, since, reason), Map.of());
+        }
+        if (phase != Phase.HELD && phase != Phase.PAUSED) {
+            evidence.held = Evidence.Held.NOT;
+        }
+        pace.align(moved);
+        return new Decision(next(stage, phase, since, reason), pace.orders());
+    }
+
+    private Progress next(int stage, Phase phase, long since, String reason) {
+        String told = anew ? reason + " (the evidence could not be read, the comparison of this stage begins anew)" : reason;
+        return new Progress(change, phase, stage, since, told, new HashSet<>(moved), EvidenceCodec.encode(evidence));
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/rollout/Worths.java
@@ -0,0 +1,29 @@
+package olivechute.rollout;
+
+import java.util.Map;
+
+/**
+ * What a job of a class is worth: {@code worth} when it is served in time, that times {@code latePart} (0 to 1) when it is served late,
+ * nothing otherwise. Classes that are not named count 1 and 0.2. {@code delayBoundsUs}: upper ends of the buckets of
+ * {@link Figures#delay()} in us, growing; the last bucket may lie above them all.
+ */
+public record Worths(Map<String, Double> worth, Map<String, Double> latePart, long[] delayBoundsUs) {
+    public Worths {
+        worth = Map.copyOf(worth);
+        latePart = Map.copyOf(latePart);
+        delayBoundsUs = delayBoundsUs.clone();
+    }
+
+    /** All classes alike. */
+    public static Worths alike(long[] delayBoundsUs) {
+        return new Worths(Map.of(), Map.of(), delayBoundsUs);
+    }
+
+    double of(String name) {
+        return worth.getOrDefault(name, 1.0);
+    }
+
+    double late(String name) {
+        return latePart.getOrDefault(name, 0.2);
+    }
+}
