--- a/src/main/java/olivechute/rollout/Rollout.java
+++ b/src/main/java/olivechute/rollout/Rollout.java
@@ -190,7 +190,7 @@
     /** What the stage lacks to pass, as a clause. */
     private Optional<String> missing() {
         if (now - progress.stageSince() < stage().leastMs()) {
-            return Optional.of((now - progress.stageSince()) / 1000 + " of at least " + stage().leastMs() / 1000 + " s");
+            return Optional.of((now - progress.stageSince()) / 10_000 * 10 + " of at least " + stage().leastMs() / 1000 + " s");
         }
         if (evidence.jobs() < stage().leastJobs() || evidence.jobs() == 0) {
             return Optional.of(evidence.jobs() + " of at least " + Math.max(1, stage().leastJobs()) + " jobs ended at new nodes");
--- a/src/main/java/olivechute/rollout/Worths.java
+++ b/src/main/java/olivechute/rollout/Worths.java
@@ -1,5 +1,6 @@
 package olivechute.rollout;
 
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -15,8 +16,8 @@
     }
 
     /** All classes alike. */
-    public static Worths alike(long[] delayBoundsUs) {
-        return new Worths(Map.of(), Map.of(), delayBoundsUs);
+    public static Worths alike(List<Long> delayBoundsUs) {
+        return new Worths(Map.of(), Map.of(), delayBoundsUs.stream().mapToLong(Long::longValue).toArray());
     }
 
     double of(String name) {
