--- /dev/null
+++ b/src/main/java/olivechute/supervise/Overlay.java
@@ -0,0 +1,62 @@
+package olivechute.supervise;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigException;
+import com.typesafe.config.ConfigFactory;
+import com.typesafe.config.ConfigIncludeContext;
+import com.typesafe.config.ConfigIncluder;
+import com.typesafe.config.ConfigObject;
+import com.typesafe.config.ConfigParseOptions;
+import com.typesafe.config.ConfigRenderOptions;
+import com.typesafe.config.ConfigResolveOptions;
+import java.util.List;
+import olivechute.fault.FaultKind;
+import olivechute.fault.SettingsFault;
+
+/** A version's settings laid over a node's own file. */
+final class Overlay {
+    /** What a node takes over when it reads its file again; see {@link olivechute.config.NodeConfig#fixedSince}. */
+    private static final List<String> FREE = List.of("discovery", "settings.ceilings.open_cap", "settings.ceilings.dial_timeout");
+
+    private Overlay() { }
+
+    /** The whole configuration as JSON on one line; SETTINGS_INVALID where the text is no HOCON or refers to what is not there. */
+    static String lay(String base, String over) throws SettingsFault {
+        try {
+            Config whole = parse(over).withFallback(parse(base)).resolve(ConfigResolveOptions.noSystem());
+            return whole.root().render(ConfigRenderOptions.concise());
+        } catch (ConfigException e) {
+            throw new SettingsFault(FaultKind.SETTINGS_INVALID, "settings of a version: " + e.getMessage(), e);
+        }
+    }
+
+    /** Whether nothing differs but what a node can change while it runs. */
+    static boolean changesWhileRunning(String before, String now) {
+        return fixed(before).equals(fixed(now));
+    }
+
+    private static Config fixed(String json) {
+        Config rest = parse(json);
+        for (String path : FREE) {
+            rest = rest.withoutPath(path);
+        }
+        return rest;
+    }
+
+    private static Config parse(String text) {
+        return ConfigFactory.parseString(text, ConfigParseOptions.defaults().setIncluder(new NoIncludes()));
+    }
+
+    /** What is laid over is what the store holds: no file of the machine and no address has a part in it. */
+    private static final class NoIncludes implements ConfigIncluder {
+        @Override
+        public ConfigIncluder withFallback(ConfigIncluder other) {
+            return this;
+        }
+
+        @Override
+        public ConfigObject include(ConfigIncludeContext context, String what) {
+            throw new ConfigException.Generic("includes no other file: '" + what + "'");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/supervise/Programs.java
@@ -0,0 +1,47 @@
+package olivechute.supervise;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.DigestInputStream;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import olivechute.fault.FaultKind;
+import olivechute.fault.SupervisionFault;
+
+/** Whether a program is what a version says. */
+final class Programs {
+    private Programs() { }
+
+    /** PROGRAM_MISSING where the file is not there or has another SHA-256 digest; an empty digest asks for the file only. */
+    static void check(String program, String digest) throws SupervisionFault {
+        Path path = Path.of(program);
+        if (!Files.isReadable(path)) {
+            throw new SupervisionFault(FaultKind.PROGRAM_MISSING, program + " cannot be read");
+        }
+        if (digest.isEmpty()) {
+            return;
+        }
+        String found;
+        try {
+            found = digest(path);
+        } catch (IOException e) {
+            throw new SupervisionFault(FaultKind.PROGRAM_MISSING, program + ": " + e, e);
+        }
+        if (!found.equalsIgnoreCase(digest)) {
+            throw new SupervisionFault(FaultKind.PROGRAM_MISSING, program + " has the digest " + found + ", wanted is " + digest);
+        }
+    }
+
+    /** SHA-256 in hexadecimal digits. */
+    static String digest(Path file) throws IOException {
+        try (InputStream in = new DigestInputStream(Files.newInputStream(file), MessageDigest.getInstance("SHA-256"))) {
+            in.transferTo(java.io.OutputStream.nullOutputStream());
+            return HexFormat.of().formatHex(((DigestInputStream) in).getMessageDigest().digest());
+        } catch (NoSuchAlgorithmException e) {
+            throw new AssertionError("SHA-256 is in every Java", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/supervise/Refusal.java
@@ -0,0 +1,17 @@
+package olivechute.supervise;
+
+import java.util.regex.Pattern;
+
+/** Tells a node that refuses its program or settings from one that broke. */
+final class Refusal {
+    private static final Pattern KEY = Pattern.compile("[A-Za-z_][A-Za-z0-9_.\\[\\]-]*: .*");
+    /** A neighbour may hold the address for a moment: worth another start. */
+    private static final String IN_USE = "LB_LISTEN: cannot listen";
+
+    private Refusal() { }
+
+    /** Whether an end with this status and last line, before it was ever ready, says that another start would end the same way. */
+    static boolean isOne(Integer status, String line) {
+        return status != null && status == 1 && KEY.matcher(line).matches() && !line.startsWith(IN_USE);
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/supervise/SuperviseSettings.java
@@ -0,0 +1,142 @@
+package olivechute.supervise;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import olivechute.config.Address;
+import olivechute.config.Hocon;
+import olivechute.fault.FaultKind;
+import olivechute.fault.SettingsFault;
+import olivechute.store.ReplicaAddress;
+
+/**
+ * What a supervisor is told, in HOCON; deploy/supervise.conf has every key. {@code program} is null for the jar that it runs from,
+ * {@code java} the command and its flags before {@code -jar}.
+ */
+record SuperviseSettings(String machine, String zone, List<ReplicaAddress> replicas, Duration storeTimeout, Duration lease, String program,
+                         List<String> java, Path folder, InetSocketAddress figures, Bounds bounds, List<Supervised> nodes) {
+    private static final int MOST = 256 * 1024;
+    private static final int MOST_NODES = 256;
+    private static final Duration HOUR = Duration.ofHours(1);
+
+    /** A node: its base file, where it listens (one address or two, of which one serves), and the version before any order. */
+    record Supervised(String name, Path config, List<String> addresses, String version) { }
+
+    /** Reads a file; SETTINGS_INVALID tells all that is wrong with it. */
+    static SuperviseSettings load(Path file) throws SettingsFault {
+        try {
+            if (Files.size(file) > MOST) {
+                throw new SettingsFault(FaultKind.SETTINGS_INVALID, file + " is over " + MOST + " bytes");
+            }
+            return read(Files.readString(file, StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            throw new SettingsFault(FaultKind.SETTINGS_INVALID, "cannot read " + file + ": " + e, e);
+        }
+    }
+
+    static SuperviseSettings read(String text) throws SettingsFault {
+        List<String> faults = new ArrayList<>();
+        Hocon root = Hocon.parse(text, faults);
+        SuperviseSettings read = of(root);
+        root.close();
+        if (!faults.isEmpty()) {
+            throw new SettingsFault(FaultKind.SETTINGS_INVALID, String.join("; ", faults));
+        }
+        return read;
+    }
+
+    private static SuperviseSettings of(Hocon root) {
+        Hocon store = root.node("store");
+        List<ReplicaAddress> replicas = new ArrayList<>();
+        for (Hocon each : store.nodes("replicas")) {
+            replicas.add(new ReplicaAddress(each.needed("id"), address(each, "address", each.needed("address"))));
+            each.close();
+        }
+        if (replicas.isEmpty()) {
+            store.wrong("replicas", "missing, must be a list of { id, address }");
+        }
+        Duration timeout = store.duration("timeout", Duration.ofSeconds(1), Duration.ofMillis(100), Duration.ofSeconds(30));
+        Duration lease = store.duration("lease", Duration.ofSeconds(3), Duration.ofMillis(500), Duration.ofMinutes(1));
+        store.close();
+        Hocon program = root.node("program");
+        String jar = program.text("jar", "");
+        List<String> java = program.has("java") ? program.texts("java") : List.of("java");
+        if (java.isEmpty()) {
+            program.wrong("java", "must be the command and its flags");
+        }
+        program.close();
+        String machine = name(root, "machine");
+        String zone = root.text("zone", "");
+        String folder = root.needed("folder");
+        String figures = root.text("figures", "127.0.0.1:7900");
+        InetSocketAddress listen = root.meaning("figures", key -> Address.parse(key, figures));
+        if (listen != null && !listen.getAddress().isLoopbackAddress()) {
+            root.wrong("figures", "must be a loopback address");
+        }
+        return new SuperviseSettings(machine, zone, List.copyOf(replicas), timeout, lease, jar.isEmpty() ? null : jar, java, Path.of(folder),
+            listen, bounds(root), nodes(root));
+    }
+
+    private static Bounds bounds(Hocon root) {
+        Duration ready = root.duration("ready_within", Duration.ofSeconds(20), Duration.ofMillis(100), HOUR);
+        Duration drain = root.duration("drain_within", Duration.ofSeconds(10), Duration.ofMillis(100), HOUR);
+        Hocon backoff = root.node("backoff");
+        Duration least = backoff.duration("least", Duration.ofMillis(200), Duration.ofMillis(10), HOUR);
+        Duration most = backoff.duration("most", Duration.ofSeconds(30), Duration.ofMillis(10), HOUR);
+        if (most.compareTo(least) < 0) {
+            backoff.wrong("most", "must be no less than least");
+        }
+        backoff.close();
+        return new Bounds(ready, drain, least, most);
+    }
+
+    private static List<Supervised> nodes(Hocon root) {
+        List<Supervised> nodes = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        Set<String> taken = new HashSet<>();
+        for (Hocon each : root.nodes("nodes")) {
+            String name = name(each, "name");
+            String config = each.needed("config");
+            List<String> addresses = new ArrayList<>(List.of(address(each, "listen", each.needed("listen"))));
+            String second = each.text("second", "");
+            if (!second.isEmpty()) {
+                addresses.add(address(each, "second", second));
+            }
+            if (!names.add(name)) {
+                each.wrong("name", "there is another node of that name");
+            }
+            if (!taken.addAll(addresses) || new HashSet<>(addresses).size() < addresses.size()) {
+                each.wrong("listen", "each address can be used once");
+            }
+            nodes.add(new Supervised(name, Path.of(config), List.copyOf(addresses), name(each, "version")));
+            each.close();
+        }
+        if (nodes.isEmpty() || nodes.size() > MOST_NODES) {
+            root.wrong("nodes", "must be a list of 1 to " + MOST_NODES + " nodes");
+        }
+        return List.copyOf(nodes);
+    }
+
+    private static String address(Hocon at, String key, String text) {
+        if (!text.isEmpty()) {
+            at.meaning(key, path -> Address.parse(path, text));
+        }
+        return text;
+    }
+
+    /** Names are parts of keys and of file names. */
+    private static String name(Hocon at, String key) {
+        String name = at.needed(key);
+        if (!name.isEmpty() && !name.matches("[A-Za-z0-9][A-Za-z0-9._-]{0,63}")) {
+            at.wrong(key, "must be up to 64 letters, digits, dots, dashes and underscores");
+        }
+        return name;
+    }
+}
