Give the rig its stand-ins, planted versions of the program, and nodes without a store

Fleet tests need clients, workers and discovery that log all they saw, and versions that are worse in a known way. Each node gets worker addresses of its own, as the list lets them differ, so that news go to the node a job came from; a version's fault is a call led to a planted class, and a patch that finds nothing fails.

--- a/src/test/java/olivechute/rig/FleetCheckTest.java
+++ b/src/test/java/olivechute/rig/FleetCheckTest.java
@@ -58,6 +58,7 @@
         looks(0, 100, 300);
         looks(1, 300, 500);
         looks(2, 490, 530);         // its first look as away comes after the last of the node before
+        looks(4, 0, 290);           // not there before
         looks(3, 700, 720);         // one look alone says nothing of how long
         assertEquals(List.of(), found(1));
     }
--- /dev/null
+++ b/src/test/java/olivechute/rig/HttpLine.java
@@ -0,0 +1,69 @@
+package olivechute.rig;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import olivechute.http.HttpException;
+import olivechute.http.HttpResponse;
+import olivechute.http.ResponseParser;
+
+/** One connection of a stand-in, one exchange at a time. */
+final class HttpLine implements AutoCloseable {
+    private final Socket socket = new Socket();
+    private final ResponseParser parser = new ResponseParser();
+    private final byte[] buffer = new byte[8192];
+    private int from;
+    private int to;
+
+    HttpLine(InetSocketAddress address, int dialMillis) throws IOException {
+        try {
+            socket.connect(address, dialMillis);
+            socket.setTcpNoDelay(true);
+        } catch (IOException e) {
+            LinkProxy.quietly(socket);
+            throw e;
+        }
+    }
+
+    void send(byte[] bytes) throws IOException {
+        socket.getOutputStream().write(bytes);
+    }
+
+    /** The next answer; null if the connection ends cleanly before its first byte. */
+    HttpResponse receive(int withinMillis) throws IOException, HttpException {
+        long end = Ledger.now() + withinMillis;
+        boolean begun = false;
+        for (;;) {
+            while (from < to) {
+                from += parser.feed(buffer, from, to - from);
+                begun = true;
+                if (parser.complete()) {
+                    return parser.take();
+                }
+            }
+            socket.setSoTimeout((int) Math.max(1, end - Ledger.now()));
+            from = 0;
+            to = Math.max(0, socket.getInputStream().read(buffer));
+            if (to == 0) {
+                if (begun) {
+                    return parser.end() ? parser.take() : null;
+                }
+                return null;
+            }
+        }
+    }
+
+    /** An answer that nobody waits for and that has come already, null for none; a connection that has ended is none either. */
+    HttpResponse stray() {
+        try {
+            return from < to || socket.getInputStream().available() > 0 ? receive(1000) : null;
+        } catch (IOException | HttpException e) {
+            return null;
+        }
+    }
+
+    @Override
+    public void close() {
+        LinkProxy.quietly(socket);
+    }
+}
--- /dev/null
+++ b/src/test/java/olivechute/rig/HttpPeer.java
@@ -0,0 +1,83 @@
+package olivechute.rig;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import olivechute.http.HttpException;
+import olivechute.http.HttpRequest;
+import olivechute.http.RequestParser;
+import olivechute.net.Threads;
+
+/** A listener of a stand-in on a loopback address of the system's choice, with a thread for each connection. */
+final class HttpPeer implements AutoCloseable {
+    private final ServerSocket server;
+    private final Answering answering;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
+    /** The bytes to answer a request with. */
+    interface Answering {
+        byte[] answer(HttpRequest request) throws InterruptedException;
+    }
+
+    HttpPeer(String name, Answering answering) {
+        this.answering = answering;
+        try {
+            server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+        } catch (IOException e) {
+            throw new RigFault("no listener for " + name, e);
+        }
+        Threads.start("rig-" + name, () -> {
+            try {
+                for (;;) {
+                    Socket socket = server.accept();
+                    sockets.add(socket);
+                    Threads.start("rig-" + name, () -> serve(socket));
+                }
+            } catch (IOException closed) {
+                return;
+            }
+        });
+    }
+
+    private void serve(Socket socket) {
+        RequestParser parser = new RequestParser();
+        byte[] buffer = new byte[8192];
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            for (int n = socket.getInputStream().read(buffer); n >= 0; n = socket.getInputStream().read(buffer)) {
+                for (int at = 0; at < n;) {
+                    at += parser.feed(buffer, at, n - at);
+                    if (parser.complete()) {
+                        socket.getOutputStream().write(answering.answer(parser.take()));
+                    }
+                }
+            }
+        } catch (IOException | HttpException | InterruptedException ended) {
+            return;
+        } finally {
+            sockets.remove(socket);
+        }
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) server.getLocalSocketAddress();
+    }
+
+    String text() {
+        return address().getAddress().getHostAddress() + ":" + address().getPort();
+    }
+
+    @Override
+    public void close() {
+        try {
+            server.close();
+        } catch (IOException e) {
+            throw new RigFault("a listener does not close", e);
+        }
+        sockets.forEach(LinkProxy::quietly);
+    }
+}
--- /dev/null
+++ b/src/test/java/olivechute/rig/Nodes.java
@@ -0,0 +1,120 @@
+package olivechute.rig;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The surroundings of nodes n0, n1 and so on: discovery, workers, clients and a configuration file for each, all in one ledger; and, where
+ * no supervisor does it, the nodes as programs of their own.
+ */
+public final class Nodes implements AutoCloseable {
+    private static final Duration STARTS = Duration.ofSeconds(20);
+    private static final int WORKERS = 3;
+    private static final int LEAST_MILLIS = 5;
+    private static final int MOST_MILLIS = 25;
+    private static final String CONFIG = """
+        {"name":"NAME","listen":"LISTEN","discovery":"DISCOVERY","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+         "known":{"index":1,"snapshot":true,"endpoints":[KNOWN]},
+         "settings":{
+          "accounts":[{"name":"acme","quota_per_s":1000,"share":1.0}],"az":"a",
+          "ceilings":{"conn_idle":5.0,"dial_timeout":0.25,"max_retry_after":2.0,"try_limit":3,"retry_after":false},
+          "clients":{"marks_retry":true},"discovery":"subscribe","fleet_size":SIZE,"kinds":["k"],
+          "domain":{"class_stretch":[1.75,2.5],"report_x0":"free slots","tells_start":true},
+          "report":{"fields":["x0"],"via":"inline"},
+          "rules":{"ask_every":10.0,"drain_grace":0.5,"fall_multiple":3.0,"overload_for":1.0,"ramp_time":8.9,"start_capacity":0.3},
+          "profiles":[
+           {"name":"verify","credit":2,"deadline":5,"goal_time":0.15,"effect":"retryable","group":"all","window":5},
+           {"name":"sign","credit":8,"deadline":5,"goal_time":0.15,"effect":"dedup","group":"all","window":7.5}]}}
+        """;
+
+    private final Folder folder = new Folder("nodes");
+    private final Ledger ledger = new Ledger();
+    private final Workers workers;
+    private final Registry registry;
+    private final Clients clients;
+    private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+    private final Map<String, Path> configs = new LinkedHashMap<>();
+    private final Map<String, Program> programs = new LinkedHashMap<>();
+
+    /** Surroundings for so many nodes; starts none of them. */
+    public Nodes(int count, long seed) {
+        workers = new Workers(ledger, WORKERS, LEAST_MILLIS, MOST_MILLIS, seed);
+        registry = new Registry(workers, "a");
+        clients = new Clients(ledger, seed);
+        for (int i = 0; i < count; i++) {
+            String node = "n" + i;
+            InetSocketAddress listen = Ports.free();
+            workers.node(node);
+            workers.at(node, listen);
+            addresses.put(node, listen);
+            configs.put(node, folder.write(node + ".json", CONFIG.replace("NAME", node).replace("LISTEN", Ports.text(listen))
+                .replace("DISCOVERY", registry.node(node)).replace("SIZE", String.valueOf(count))
+                .replace("KNOWN", workers.entries(node, "a"))));
+        }
+    }
+
+    /** Has the clients look at all nodes, and send to those that are ready. */
+    public Nodes open() {
+        addresses.forEach(clients::node);
+        return this;
+    }
+
+    public List<String> names() {
+        return List.copyOf(addresses.keySet());
+    }
+
+    public Ledger ledger() {
+        return ledger;
+    }
+
+    public Clients clients() {
+        return clients;
+    }
+
+    /** The file for {@code LB_CONFIG}. */
+    public Path config(String node) {
+        return configs.get(node);
+    }
+
+    public InetSocketAddress address(String node) {
+        return addresses.get(node);
+    }
+
+    /** Starts this node from a jar without supervisor and waits until it listens. */
+    public Program start(String node, Path jar) {
+        Program program = begin(node, jar);
+        program.awaitLine(node + " listens on ", STARTS);
+        return program;
+    }
+
+    /** Starts this node without waiting. */
+    public Program begin(String node, Path jar) {
+        Program program = Program.start(Recipe.jar(node, jar, "serve").with("LB_CONFIG", config(node).toString()));
+        programs.put(node, program);
+        return program;
+    }
+
+    public Program program(String node) {
+        return programs.get(node);
+    }
+
+    /** Stops the load and returns what was broken. */
+    public List<FleetCheck.Violation> finish(int mostAway) {
+        clients.stop();
+        return FleetCheck.check(ledger, mostAway);
+    }
+
+    @Override
+    public void close() {
+        clients.close();
+        new ArrayList<>(programs.values()).forEach(Program::close);
+        workers.close();
+        registry.close();
+        folder.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/olivechute/rig/Ports.java
@@ -0,0 +1,35 @@
+package olivechute.rig;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Set;
+
+/** Loopback ports that were free a moment ago; none is given twice in this virtual machine. */
+public final class Ports {
+    private static final Set<Integer> GIVEN = new HashSet<>();
+
+    private Ports() { }
+
+    /** One more, as an address. */
+    public static synchronized InetSocketAddress free() {
+        try {
+            for (;;) {
+                try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                    if (GIVEN.add(socket.getLocalPort())) {
+                        return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+                    }
+                }
+            }
+        } catch (IOException e) {
+            throw new RigFault("no free port", e);
+        }
+    }
+
+    /** As settings write it. */
+    public static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/src/test/java/olivechute/rig/VersionsIT.java
@@ -0,0 +1,99 @@
+package olivechute.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import olivechute.http.HttpException;
+import olivechute.http.HttpResponse;
+import olivechute.http.MessageWriter;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Each version alone, as a node with clients: it has its fault and no other. */
+@Timeout(40)
+class VersionsIT {
+    private static final long SEED = 20261202;
+    private static final int RATE = 100;
+    private static final long SOON = 15_000;
+
+    private final Versions versions = new Versions(Recipe.JAR);
+    private final Nodes nodes = new Nodes(1, SEED);
+
+    @AfterEach
+    void close() {
+        System.out.println("seed " + SEED + ", jobs " + nodes.ledger().counts());
+        nodes.close();
+        versions.close();
+    }
+
+    private void serve(Path jar, int jobs) {
+        nodes.start("n0", jar);
+        nodes.open();
+        nodes.clients().awaitReady(ready -> ready.get("n0"), SOON);
+        nodes.clients().load(RATE);
+        nodes.clients().awaitServed(jobs, SOON);
+        assertEquals(List.of(), nodes.finish(0));
+    }
+
+    @Test
+    void theEqualOneServesUnderAnotherDigest() {
+        Path equal = versions.equal();
+        assertNotEquals(Versions.digest(Recipe.JAR), Versions.digest(equal));
+        serve(equal, 100);
+        assertEquals(nodes.ledger().jobs().size(), served("verify") + served("sign"));
+    }
+
+    @Test
+    void oneRefusesEveryTenthOfSign() {
+        serve(versions.refusesTenthOfSign(), 200);
+        long signs = served("sign") + nodes.ledger().count("sign", Ledger.End.REFUSED);
+        assertTrue(Math.abs(nodes.ledger().count("sign", Ledger.End.REFUSED) - signs / 10.0) <= 1, nodes.ledger().counts().toString());
+        assertEquals(nodes.ledger().jobs().size(), served("verify") + signs);
+    }
+
+    private long served(String requestClass) {
+        return nodes.ledger().count(requestClass, Ledger.End.SERVED);
+    }
+
+    @Test
+    void oneHoldsEachJobUp() {
+        serve(versions.slower(300), 50);
+        assertTrue(nodes.ledger().jobs().stream().allMatch(job -> job.ended() - job.sent() >= 300));
+    }
+
+    @Test
+    void oneEndsByItselfOnceItIsReady() {
+        Program node = nodes.start("n0", versions.crashesAfter(1000));
+        assertEquals(3, node.awaitExit(Duration.ofSeconds(10)));
+        assertTrue(node.lines().contains("planted crash"));
+    }
+
+    @Test
+    void oneServesButIsNeverReady() throws IOException, HttpException {
+        nodes.start("n0", versions.neverReady());
+        nodes.open();
+        assertThrows(RigFault.class, () -> nodes.clients().awaitReady(ready -> ready.get("n0"), 500));
+        try (HttpLine line = new HttpLine(nodes.address("n0"), 1000)) {
+            line.send(MessageWriter.request("GET", "/health/ready", "node", null));
+            assertEquals(503, line.receive(2000).status());
+            line.send(MessageWriter.request("POST", "/verify?user=u1", "backend.local", new byte[] {'x'}, "X-Txn", "1234567890abcdef", "X-Org",
+                "acme", "X-Remaining", "5000m"));
+            HttpResponse served = line.receive(6000);
+            assertEquals(200, served.status());
+        }
+    }
+
+    @Test
+    void aPatchThatFindsNothingIsNoVersion() {
+        assertThrows(RigFault.class, () -> new Versions(versions.path("missing.jar")).equal());
+        assertEquals(Map.of(), nodes.ledger().counts());
+    }
+}
