--- a/src/test/java/olivechute/config/NodeConfigTest.java
+++ b/src/test/java/olivechute/config/NodeConfigTest.java
@@ -1,11 +1,13 @@
 package olivechute.config;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -119,6 +121,28 @@
         }
     }
 
+    @Test
+    public void aSupervisorIsNamedByTheEnvironmentOnly() throws IOException {
+        assertNull(read(Map.of()).figures());
+        assertNull(read(Map.of("OLIVECHUTE_FIGURES", "", "OLIVECHUTE_VERSION", "v1")).figures());
+        assertEquals(read(Map.of("OLIVECHUTE_FIGURES", "127.0.0.1:90")).figures(),
+            new FiguresSettings(new InetSocketAddress("127.0.0.1", 90), ""));
+        assertEquals(read(Map.of("OLIVECHUTE_FIGURES", "127.0.0.1:90", "OLIVECHUTE_VERSION", "v1")).figures().version(), "v1");
+    }
+
+    @Test
+    public void aWrongSupervisorOrVersionNamesItsVariable() {
+        for (String bad : new String[] {"127.0.0.1", "localhost:90", "127.0.0.1:x", "127.0.0.1:70000"}) {
+            String seen = expectThrows(BadValueException.class, () -> read(Map.of("OLIVECHUTE_FIGURES", bad))).getMessage();
+            assertTrue(seen.startsWith("OLIVECHUTE_FIGURES: must be ADDRESS:PORT"), seen);
+        }
+        for (String bad : new String[] {"v\n", "v".repeat(101)}) {
+            Map<String, String> environment = Map.of("OLIVECHUTE_FIGURES", "127.0.0.1:90", "OLIVECHUTE_VERSION", bad);
+            String seen = expectThrows(BadValueException.class, () -> read(environment)).getMessage();
+            assertTrue(seen.startsWith("OLIVECHUTE_VERSION: must be at most 100 characters"), seen);
+        }
+    }
+
     @Test
     public void aWrongFormOrLevelNamesItsVariable() {
         assertEquals(expectThrows(BadValueException.class, () -> LogForm.settle(Map.of(LogForm.FORM, "xml"))).getMessage(),
