Test groups of replicas as whole processes

Needed: what a killed lead, an emptied replica and a whole group killed at once leave behind. Appends go one at a time: with eight on the way they overtook each other and were turned back.

--- a/src/main/java/olivechute/store/raft/RatisMachine.java
+++ b/src/main/java/olivechute/store/raft/RatisMachine.java
@@ -49,6 +49,9 @@
 
         void follows(RaftPeerId lead);
 
+        /** It took over a snapshot of the one that leads. */
+        void caughtUp();
+
         void logFailed(Throwable cause);
 
         /** Nothing more is applied: going on would part this replica from the others. */
@@ -105,6 +108,7 @@
     @Override
     public void reinitialize() throws IOException {
         getLifeCycle().startAndTransition(this::load);
+        listener.caughtUp();
     }
 
     private void load() throws IOException {
--- a/src/main/java/olivechute/store/raft/Replica.java
+++ b/src/main/java/olivechute/store/raft/Replica.java
@@ -112,6 +112,11 @@
             });
         }
 
+        @Override
+        public void caughtUp() {
+            events.execute(() -> say.accept("caught up from a snapshot"));
+        }
+
         @Override
         public void logFailed(Throwable cause) {
             Logger.error("log: {}", String.valueOf(cause));
--- a/src/main/java/olivechute/store/raft/Wiring.java
+++ b/src/main/java/olivechute/store/raft/Wiring.java
@@ -48,7 +48,8 @@
         GrpcConfigKeys.Server.setPort(p, Integer.parseInt(address.substring(colon + 1)));
         GrpcConfigKeys.setMessageSizeMax(p, SizeInBytes.valueOf(2L * MESSAGE));
         GrpcConfigKeys.setFlowControlWindow(p, SizeInBytes.valueOf(MIB));
-        GrpcConfigKeys.Server.setLeaderOutstandingAppendsMax(p, 8);
+        // One at a time holds all that waits; several overtake each other on the way and are turned back for it.
+        GrpcConfigKeys.Server.setLeaderOutstandingAppendsMax(p, 1);
         RaftServerConfigKeys.setStorageDir(p, List.of(log.toFile()));
         RaftServerConfigKeys.Rpc.setTimeoutMin(p, time(settings.electionLeast().toMillis()));
         RaftServerConfigKeys.Rpc.setTimeoutMax(p, time(settings.electionMost().toMillis()));
--- /dev/null
+++ b/src/test/java/olivechute/store/raft/StoreGroup.java
@@ -0,0 +1,176 @@
+package olivechute.store.raft;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+import olivechute.store.ReplicaAddress;
+
+/** Replicas as processes of the built jar, on free ports of loopback, with folders of their own; waits on what they say. */
+final class StoreGroup implements AutoCloseable {
+    static final long WITHIN_MS = 30_000;
+
+    /** What all processes said, in the order in which it came. */
+    private record Line(int replica, int run, String text) { }
+
+    final List<ReplicaAddress> replicas = new ArrayList<>();
+    private final Path home = Files.createTempDirectory("store");
+    private final Process[] processes;
+    private final int[] runs;
+    private final List<Line> lines = new ArrayList<>();
+    private final String more;
+
+    /** {@code more}: settings beside those that name the group. */
+    StoreGroup(int count, String more) throws IOException {
+        this.more = more;
+        processes = new Process[count];
+        runs = new int[count];
+        List<ServerSocket> held = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            held.add(socket);
+            replicas.add(new ReplicaAddress("r" + i, "127.0.0.1:" + socket.getLocalPort()));
+        }
+        for (ServerSocket each : held) {
+            each.close();
+        }
+    }
+
+    static StoreGroup started(int count, String more) throws IOException, InterruptedException {
+        StoreGroup group = new StoreGroup(count, more);
+        for (int i = 0; i < count; i++) {
+            group.start(i);
+        }
+        return group;
+    }
+
+    Path folder(int replica) {
+        return home.resolve("r" + replica);
+    }
+
+    void start(int replica) throws IOException {
+        start(replica, folder(replica), "r" + replica);
+    }
+
+    /** Starts one with a folder and an id that may be another's. */
+    void start(int replica, Path folder, String id) throws IOException {
+        StringBuilder text = new StringBuilder("id = " + id + "\nfolder = \"" + folder + "\"\n" + more + "\nreplicas = [\n");
+        replicas.forEach(r -> text.append("  { id = ").append(r.id()).append(", address = \"").append(r.address()).append("\" }\n"));
+        Path settings = Files.writeString(home.resolve("r" + replica + ".conf"), text.append("]\n"));
+        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx128m",
+            "-XX:MaxDirectMemorySize=64m", "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-jar", "target/olivechute.jar", "store",
+            "--settings", settings.toString()).redirectErrorStream(true).start();
+        int run = ++runs[replica];
+        processes[replica] = process;
+        Thread reader = new Thread(() -> read(replica, run, process));
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private void read(int replica, int run, Process process) {
+        try (BufferedReader from = process.inputReader()) {
+            for (String line = from.readLine(); line != null; line = from.readLine()) {
+                synchronized (lines) {
+                    lines.add(new Line(replica, run, line));
+                    lines.notifyAll();
+                }
+            }
+        } catch (IOException e) {
+            // it was ended
+        }
+    }
+
+    long pid(int replica) {
+        return processes[replica].pid();
+    }
+
+    /** SIGKILL. */
+    void kill(int replica) throws InterruptedException {
+        processes[replica].destroyForcibly().waitFor();
+    }
+
+    int exit(int replica) throws InterruptedException {
+        if (!processes[replica].waitFor(WITHIN_MS, TimeUnit.MILLISECONDS)) {
+            throw new AssertionError("replica " + replica + " did not end; said: " + said());
+        }
+        return processes[replica].exitValue();
+    }
+
+    /** How much was said so far: where to look from. */
+    int mark() {
+        synchronized (lines) {
+            return lines.size();
+        }
+    }
+
+    private Line await(int mark, String what, Predicate<Line> wanted) throws InterruptedException {
+        long end = System.nanoTime() + WITHIN_MS * 1_000_000;
+        synchronized (lines) {
+            while (true) {
+                for (int i = mark; i < lines.size(); i++) {
+                    if (wanted.test(lines.get(i))) {
+                        return lines.get(i);
+                    }
+                }
+                long left = (end - System.nanoTime()) / 1_000_000;
+                if (left <= 0) {
+                    throw new AssertionError("no line " + what + " in time; said: " + said());
+                }
+                lines.wait(left);
+            }
+        }
+    }
+
+    /** Waits for a line of a replica's present run that holds a text. */
+    void awaitLine(int mark, int replica, String text) throws InterruptedException {
+        int run = runs[replica];
+        await(mark, "'" + text + "' of r" + replica, line -> line.replica == replica && line.run == run && line.text.contains(text));
+    }
+
+    /** Waits until one leads that still runs; returns which. */
+    int awaitLead(int mark) throws InterruptedException {
+        return await(mark, "of one that leads", line -> line.text.contains(" leads term ") && line.run == runs[line.replica]
+            && processes[line.replica].isAlive()).replica;
+    }
+
+    RatisStore client(Duration timeout) {
+        return RatisStore.connect(replicas, timeout);
+    }
+
+    String said() {
+        synchronized (lines) {
+            StringBuilder all = new StringBuilder();
+            lines.forEach(line -> all.append("\nr").append(line.replica).append('#').append(line.run).append(": ").append(line.text));
+            return all.toString();
+        }
+    }
+
+    static void empty(Path folder) throws IOException {
+        if (Files.exists(folder)) {
+            try (Stream<Path> all = Files.walk(folder)) {
+                for (Path each : all.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(each);
+                }
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Process each : processes) {
+            if (each != null) {
+                each.destroyForcibly().onExit().join();
+            }
+        }
+        empty(home);
+    }
+}
--- /dev/null
+++ b/src/test/java/olivechute/store/raft/StoreGroupIT.java
@@ -0,0 +1,202 @@
+package olivechute.store.raft;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import olivechute.fault.FaultKind;
+import olivechute.fault.StoreFault;
+import olivechute.store.Store;
+import olivechute.store.Store.Write;
+import org.junit.jupiter.api.Test;
+
+/** Groups of replicas as whole processes: what is acknowledged is there, once, whoever is killed. */
+class StoreGroupIT {
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void threeReplicasWriteReadWatchAndLease() throws Exception {
+        try (StoreGroup group = StoreGroup.started(3, ""); Store store = group.client(TIMEOUT)) {
+            long version = store.write(List.of(Write.put("order/n1", bytes("v1"))), List.of());
+            assertArrayEquals(bytes("v1"), store.get("order/n1").orElseThrow().value());
+            CompletableFuture<Store.Changes> seen = CompletableFuture.supplyAsync(() -> watched(store, version));
+            store.write(List.of(Write.put("order/n2", bytes("v2")), Write.delete("order/n1")), List.of());
+            Store.Changes changes = seen.get();
+            assertEquals("order/n2", changes.entries().get(0).key());
+            assertEquals(List.of("order/n1"), changes.removed());
+            assertEquals(1, store.list("order/").entries().size());
+            StoreFault conflict = assertThrows(StoreFault.class,
+                () -> store.write(List.of(Write.putIf("order/n2", bytes("v3"), version)), List.of()));
+            assertEquals(FaultKind.CONFLICT, conflict.kind());
+            Store.Lease lease = store.acquire("machine/m1", "m1", Duration.ofMillis(600));
+            store.write(List.of(new Write("machine/m1", bytes("up"), null, lease.session())), List.of(lease.fence()));
+            // Nobody renews it and nobody writes: the lead's clock alone ends it, and the watch tells.
+            Store.Changes gone = store.watch("machine/", store.list("machine/").version(), Duration.ofSeconds(20));
+            assertEquals(List.of("machine/m1"), gone.removed());
+        }
+    }
+
+    private static Store.Changes watched(Store store, long since) {
+        try {
+            return store.watch("order/", since, Duration.ofSeconds(20));
+        } catch (StoreFault e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Counts up by compare and set; what was acknowledged, at the least, and how far it may have come, at the most. */
+    private static final class Counter implements AutoCloseable {
+        private final Store store;
+        private final Thread thread = new Thread(this::run);
+        private volatile boolean over;
+        private volatile long acknowledged;
+        private long unknown;
+        private volatile Throwable failed;
+
+        Counter(Store store) {
+            this.store = store;
+            thread.start();
+        }
+
+        private void run() {
+            try {
+                long version = 0;
+                for (long next = 1; !over; next++) {
+                    try {
+                        version = store.write(List.of(Write.putIf("count", bytes("" + next), version)), List.of());
+                        acknowledged = next;
+                    } catch (StoreFault e) {
+                        if (e.kind() != FaultKind.NOT_REACHED && e.kind() != FaultKind.NO_MAJORITY) {
+                            throw e;
+                        }
+                        unknown++;
+                        Store.Entry entry = store.get("count").orElseThrow();
+                        version = entry.version();
+                        next = Long.parseLong(new String(entry.value(), StandardCharsets.UTF_8));
+                    }
+                }
+            } catch (Throwable e) {
+                failed = e;
+            }
+        }
+
+        /** Waits until so many more are acknowledged. */
+        void further(int more) throws InterruptedException {
+            long wanted = acknowledged + more;
+            long end = System.nanoTime() + StoreGroup.WITHIN_MS * 1_000_000;
+            while (acknowledged < wanted) {
+                if (failed != null || System.nanoTime() > end) {
+                    throw new AssertionError("the writer stands at " + acknowledged, failed);
+                }
+                thread.join(5);
+            }
+        }
+
+        @Override
+        public void close() throws InterruptedException {
+            over = true;
+            thread.join();
+        }
+
+        void check(Store reader) throws Exception {
+            close();
+            assertEquals(null, failed, () -> "writer: " + failed);
+            long found = Long.parseLong(new String(reader.get("count").orElseThrow().value(), StandardCharsets.UTF_8));
+            assertTrue(found >= acknowledged && found <= acknowledged + unknown,
+                "acknowledged " + acknowledged + ", unknown " + unknown + ", found " + found);
+        }
+    }
+
+    @Test
+    void aKilledLeadLosesNoAcknowledgedWriteAndNoneComesTwice() throws Exception {
+        try (StoreGroup group = StoreGroup.started(3, ""); Store store = group.client(TIMEOUT); Counter counter = new Counter(store)) {
+            int lead = group.awaitLead(0);
+            counter.further(50);
+            int mark = group.mark();
+            group.kill(lead);
+            int next = group.awaitLead(mark);
+            assertFalse(next == lead);
+            counter.further(50);
+            counter.check(store);
+        }
+    }
+
+    @Test
+    void anEmptiedReplicaCatchesUpFromASnapshot() throws Exception {
+        try (StoreGroup group = StoreGroup.started(3, "log { snapshot_every = 100, segment_mb = 1 }");
+            Store store = group.client(TIMEOUT); Counter counter = new Counter(store)) {
+            int lead = group.awaitLead(0);
+            int emptied = (lead + 1) % 3;
+            group.kill(emptied);
+            for (int i = 0; i < 60; i++) {      // so much that log files end and go
+                store.write(List.of(Write.put("large", new byte[60_000])), List.of());
+            }
+            counter.further(200);
+            StoreGroup.empty(group.folder(emptied));
+            int mark = group.mark();
+            group.start(emptied);
+            group.awaitLine(mark, emptied, "caught up from a snapshot");
+            // With the third one gone, each write needs the emptied one.
+            group.kill(3 - lead - emptied);
+            counter.further(50);
+            counter.check(store);
+        }
+    }
+
+    @Test
+    void allKilledAtOnceComeBackWithWhatWasAcknowledged() throws Exception {
+        try (StoreGroup group = StoreGroup.started(3, "log { snapshot_every = 100 }"); Store store = group.client(TIMEOUT);
+            Counter counter = new Counter(group.client(Duration.ofSeconds(25)))) {
+            group.awaitLead(0);
+            counter.further(250);
+            for (int i = 0; i < 3; i++) {
+                group.kill(i);
+            }
+            int mark = group.mark();
+            for (int i = 0; i < 3; i++) {
+                group.start(i);
+            }
+            group.awaitLead(mark);
+            counter.further(20);
+            counter.check(store);
+        }
+    }
+
+    @Test
+    void aFolderOfAnotherOrInUseIsRefused() throws Exception {
+        try (StoreGroup group = new StoreGroup(3, "")) {
+            group.start(0);
+            group.awaitLine(0, 0, "replica r0 serves on");
+            group.start(1, group.folder(0), "r1");
+            group.awaitLine(0, 1, "DATA_IN_USE");
+            assertEquals(1, group.exit(1));
+            group.kill(0);
+            group.start(1, group.folder(0), "r1");
+            group.awaitLine(0, 1, "DATA_FOREIGN");
+            assertEquals(1, group.exit(1));
+        }
+    }
+
+    @Test
+    void withoutAMajorityCallsSaySoInTime() throws Exception {
+        try (StoreGroup group = new StoreGroup(3, ""); Store store = group.client(Duration.ofSeconds(2))) {
+            group.start(0);
+            group.awaitLine(0, 0, "replica r0 serves on");
+            StoreFault fault = assertThrows(StoreFault.class, () -> store.write(List.of(Write.put("a", bytes("b"))), List.of()));
+            assertEquals(FaultKind.NO_MAJORITY, fault.kind());
+            group.kill(0);
+            StoreFault none = assertThrows(StoreFault.class, () -> store.write(List.of(Write.put("a", bytes("b"))), List.of()));
+            assertEquals(FaultKind.NOT_REACHED, none.kind());
+        }
+    }
+}
