--- a/src/main/java/olivechute/rollout/Collector.java
+++ b/src/main/java/olivechute/rollout/Collector.java
@@ -28,16 +28,16 @@
         this.worths = worths;
     }
 
-    /** {@code proposed}: all run the old version, what is usual is being learnt. */
-    void collect(Collection<NodeStatus> nodes, Map<String, Figures> figures, boolean proposed, long now) {
+    /** Whether a block ended. {@code proposed}: all run the old version, what is usual is being learnt. */
+    boolean collect(Collection<NodeStatus> nodes, Map<String, Figures> figures, boolean proposed, long now) {
         long block = Math.floorDiv(now, Evidence.BLOCK_MS);
         if (block == evidence.block) {
-            return;
+            return false;
         }
         evidence.block = block;
         prepare(figures, proposed);
         if (evidence.classes.isEmpty()) {
-            return;
+            return false;
         }
         Map<String, List<Part>> zones = new TreeMap<>();
         Set<String> sampled = Bound.sample(change, nodes, evidence.series());
@@ -67,6 +67,7 @@
                 noise.levelSquares += level[s] * level[s];
             }
         }
+        return true;
     }
 
     private void prepare(Map<String, Figures> figures, boolean proposed) {
--- a/src/main/java/olivechute/rollout/Comparison.java
+++ b/src/main/java/olivechute/rollout/Comparison.java
@@ -20,14 +20,23 @@
     static final double CLASS_COUNTS = 0.05;
     /** A node's standing to others changes by about this by itself, as at a restart. */
     private static final double DRIFT = 0.003;
+    private static final double SHARES = 0.05;
+    private static final double DELAYS = 0.5;
+    /** What a tail of delays, or any proof of harm, needs at least. */
+    private static final int TAIL_NODES = 2;
+    private static final int LEAST_BLOCKS = 4;
     private static final String[] KINDS = {"served", "not failed", "not refused", "not late"};
 
     /** Shift relative to the level, its variance, and the level and jobs it was found at. */
-    record Shift(double shift, double variance, double level, double found) {
-        /** Half of the interval that holds at all times with this chance of error; {@code scale}: size of the shifts looked for. */
-        double width(double chance, double scale) {
+    record Shift(double shift, double variance, double level, double found, long jobs) {
+        /**
+         * Half of the interval that holds at all times with this chance of error; {@code scale}: size of the shifts looked for;
+         * {@code most}: how far one job can lie off, for what is too rare to be spread as a normal variable is (Bernstein's term).
+         */
+        double width(double chance, double scale, double most) {
             double tried = scale * scale;
-            return Math.sqrt(2 * (Math.log(1 / chance) + 0.5 * Math.log(1 + tried / variance)) * variance * (variance + tried) / tried);
+            double errors = Math.log(1 / chance) + 0.5 * Math.log(1 + tried / variance);
+            return Math.sqrt(2 * errors * variance * (variance + tried) / tried) + most * errors / (3 * jobs);
         }
     }
 
@@ -51,10 +60,10 @@
                 double tolerance = kind == 0 ? 0 : kind == 1 ? 0.002 : 0.01;
                 Shift shift = shift(s, evidence.newJobs[c]);
                 if (shift != null) {
-                    double most = (shift.shift + shift.width(chance, 0.05)) * shift.level;
+                    double most = (shift.shift + shift.width(chance, SHARES, 1)) * shift.level;
                     if (most < -tolerance) {
-                        return Optional.of(text("class %s %s %.3f at new nodes against %.3f at old ones, difference at most %.3f, after %d s",
-                            evidence.classes.get(c), KINDS[kind], shift.found, shift.level, most, seconds()));
+                        return Optional.of(text("class %s %s %.3f at new nodes against %.3f at old ones, difference at most %.3f, "
+                            + "after %d s", evidence.classes.get(c), KINDS[kind], shift.found, shift.level, most, seconds()));
                     }
                 }
             }
@@ -68,18 +77,19 @@
         }
         Shift delay = shift(evidence.delay(), evidence.newStreams);
         if (delay != null) {
-            double least = (delay.shift - delay.width(chance, 0.5)) * delay.level;
+            double least = (delay.shift - delay.width(chance, DELAYS, 10)) * delay.level;
             if (least > DelayShift.MATTERS_MS) {
-                return Optional.of(text("added delay %.1f ms at new nodes against %.1f ms at old ones, difference at least %.1f ms, after %d s",
-                    delay.found, delay.level, least, seconds()));
+                return Optional.of(text("added delay %.1f ms at new nodes against %.1f ms at old ones, difference at least %.1f ms, "
+                    + "after %d s", delay.found, delay.level, least, seconds()));
             }
         }
-        Shift tail = evidence.quick < 0 ? null : shift(evidence.tail(), evidence.newStreams);
+        Shift tail = evidence.quick < 0 || moved.size() < TAIL_NODES ? null : shift(evidence.tail(), evidence.newStreams);
         if (tail != null) {
-            double most = (tail.shift + tail.width(chance, 0.05)) * tail.level;
+            double most = (tail.shift + tail.width(chance, SHARES, 1)) * tail.level;
             if (most < -0.01) {
                 return Optional.of(text("streams within the old nodes' 99th percentile of added delay and %d ms: %.3f at new nodes against "
-                    + "%.3f at old ones, difference at most %.3f, after %d s", DelayShift.MATTERS_MS, tail.found, tail.level, most, seconds()));
+                    + "%.3f at old ones, difference at most %.3f, after %d s", DelayShift.MATTERS_MS, tail.found, tail.level, most,
+                    seconds()));
             }
         }
         return Optional.empty();
@@ -103,10 +113,10 @@
             if (shift == null) {
                 return Optional.of("no figures of class " + name + " to compare");
             }
-            double least = shift.shift - shift.width(PASS_CHANCE / evidence.classes.size(), 0.05);
+            double least = shift.shift - shift.width(PASS_CHANCE / evidence.classes.size(), SHARES, 1);
             if (least < -MATTERS) {
-                return Optional.of(text("class %s served %.3f at new nodes against %.3f at old ones may still be %.1f %% worse, %.1f %% matter",
-                    name, shift.found, shift.level, -100 * least, 100 * MATTERS));
+                return Optional.of(text("class %s served %.3f at new nodes against %.3f at old ones may still be %.1f %% worse, "
+                    + "%.1f %% matter", name, shift.found, shift.level, -100 * least, 100 * MATTERS));
             }
         }
         return Optional.empty();
@@ -114,7 +124,7 @@
 
     private Shift shift(int s, long of) {
         Noise noise = evidence.noise[s];
-        if (!noise.known() || of <= 0) {
+        if (!noise.known() || noise.blocks < LEAST_BLOCKS || of <= 0) {
             return null;
         }
         double perLevel = noise.perLevel();
@@ -135,7 +145,7 @@
         }
         double shift = rest / level;
         double variance = Math.max(perLevel * level, noise.own(shift)) + usual + noise.control(perLevel, drift);
-        return new Shift(shift, variance / level / level, level / of, (level + rest) / of);
+        return new Shift(shift, variance / level / level, level / of, (level + rest) / of, of);
     }
 
     /** Variance of old nodes' standing against what it was before, beyond what chance makes of it. */
--- a/src/main/java/olivechute/rollout/Evidence.java
+++ b/src/main/java/olivechute/rollout/Evidence.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** All that a lead needs beside the phase to go on: the comparison's sums, since when moved nodes are waited for, why it stopped. */
@@ -51,6 +52,16 @@
         }
     }
 
+    /** Drops all that was counted. */
+    void forget() {
+        classes = List.of();
+        newJobs = new long[0];
+        oldJobs = new long[0];
+        newStreams = 0;
+        noise = new Noise[0];
+        nodes.clear();
+    }
+
     int delay() {
         return classes.size() * PER_CLASS;
     }
@@ -68,7 +79,7 @@
         return sum;
     }
 
-    void nextStage(java.util.Set<String> moved) {
+    void nextStage(Set<String> moved) {
         nodes.forEach((name, node) -> node.nextStage(!moved.contains(name)));
         for (Noise one : noise) {
             one.nextStage();
--- a/src/main/java/olivechute/rollout/EvidenceCodec.java
+++ b/src/main/java/olivechute/rollout/EvidenceCodec.java
@@ -26,8 +26,7 @@
         try {
             write(evidence, to);
         } catch (BufferOverflowException e) {
-            evidence.compare(List.of());
-            evidence.nodes.clear();
+            evidence.forget();
             evidence.waiting.clear();
             to.clear();
             write(evidence, to);
--- a/src/main/java/olivechute/rollout/Noise.java
+++ b/src/main/java/olivechute/rollout/Noise.java
@@ -13,7 +13,7 @@
     double restSquares;
     double restLevel;
     double levelSquares;
-    /** What the old nodes' own noise adds: per block, by what was usual of them, by their drift. Zones are summed as if they erred alike. */
+    /** What the old nodes' own noise adds: per block, by what was usual of them, by their drift. Zones count as if they erred alike. */
     double controlBlocks;
     double controlBase;
     double controlDrift;
@@ -32,7 +32,7 @@
 
     /** Variance of the new nodes' summed rest as they show it themselves, given the shift found. */
     double own(double shift) {
-        if (blocks < 4) {
+        if (blocks < 2) {
             return 0;
         }
         return Math.max(0, restSquares - 2 * shift * restLevel + shift * shift * levelSquares) * blocks / (blocks - 1);
--- a/src/main/java/olivechute/rollout/Rollout.java
+++ b/src/main/java/olivechute/rollout/Rollout.java
@@ -75,11 +75,10 @@
         all.forEach(one -> figures.put(one.node(), one));
         HardStops.await(change, nodes, moved, evidence, now);
         if (progress.phase() == Phase.ROLLING_BACK) {
-            return rollBack();
+            return takeBack();
         }
         Optional<String> stop = HardStops.found(change, nodes, figures, moved, evidence, now);
-        if (stop.isEmpty()) {
-            new Collector(evidence, change, moved, worths).collect(nodes, figures, moved.isEmpty(), now);
+        if (stop.isEmpty() && new Collector(evidence, change, moved, worths).collect(nodes, figures, moved.isEmpty(), now)) {
             stop = comparison().worse();
         }
         if (stop.isPresent() && !moved.isEmpty()) {
@@ -182,7 +181,8 @@
         }
         if (now - progress.stageSince() >= stage().longestMs()) {
             evidence.held = Evidence.Held.EVIDENCE;
-            return decide(Phase.HELD, progress.stageSince(), "too little evidence after " + stage().longestMs() / 1000 + " s: " + missing.get());
+            return decide(Phase.HELD, progress.stageSince(),
+                "too little evidence after " + stage().longestMs() / 1000 + " s: " + missing.get());
         }
         return stay("stage " + (progress.stage() + 1) + " watches: " + missing.get());
     }
@@ -225,50 +225,22 @@
             return decide(progress.stage() + 1, Phase.MOVING, now, passed);
         }
         if (nodes.stream().allMatch(node -> moved.contains(node.node()))) {
-            evidence.compare(List.of());
-            evidence.nodes.clear();
+            evidence.forget();
             return decide(Phase.DONE, now, passed + ", all " + moved.size() + " nodes run the new version");
         }
         return decide(Phase.MOVING, now, passed + ", nodes that joined are left");
     }
 
-    /** Those away first, as it costs nothing; then as many as the pace allows. */
-    private Decision rollBack() {
-        Map<String, String> orders = new HashMap<>();
-        Set<String> left = new TreeSet<>(moved);
-        Map<String, NodeStatus> known = new HashMap<>();
-        nodes.forEach(node -> known.put(node.node(), node));
-        for (boolean away : new boolean[] {true, false}) {
-            for (String name : moved) {
-                NodeStatus node = known.get(name);
-                if (node == null && away) {
-                    orders.put(name, change.from());
-                    left.remove(name);
-                } else if (node != null && away == Pace.away(node) && pace.order(node, change.from())) {
-                    left.remove(name);
-                }
-            }
-        }
-        pace.align(left);
-        orders.putAll(pace.orders());
+    private Decision takeBack() {
         String cause = evidence.cause.isEmpty() ? progress.reason() : evidence.cause;
-        String late = "";
-        boolean open = !left.isEmpty() || !orders.isEmpty();
-        for (NodeStatus node : nodes) {
-            Long since = evidence.waiting.get(node.node());
-            boolean slow = since != null && now - since > change.readyWithinMs();
-            open |= node.reachable() && Pace.away(node) && !slow;
-            late = slow && late.isEmpty() ? "; node " + node.node() + " is not ready " + (now - since) / 1000 + " s after it was to be" : late;
-        }
-        moved.retainAll(left);
         evidence.cause = cause;
-        if (!open) {
-            evidence.compare(List.of());
-            evidence.nodes.clear();
-            return new Decision(next(progress.stage(), Phase.STOPPED, now, cause + late), Map.of());
+        TakeBack back = new TakeBack(change, nodes, moved, pace, evidence.waiting, now);
+        moved.retainAll(back.left());
+        if (back.over()) {
+            evidence.forget();
+            return new Decision(next(progress.stage(), Phase.STOPPED, now, cause + back.told()), Map.of());
         }
-        String reason = cause + (left.isEmpty() ? "" : "; " + left.size() + " nodes are still to be taken back") + late;
-        return new Decision(next(progress.stage(), Phase.ROLLING_BACK, progress.stageSince(), reason), Map.copyOf(orders));
+        return new Decision(next(progress.stage(), Phase.ROLLING_BACK, progress.stageSince(), cause + back.told()), back.orders());
     }
 
     private Decision stay(String reason) {
