Drive a change from the replica that leads, and give operators their calls about it

The records of a change, its orders and the nodes' reports lie in the store, and nothing carried them forward. Now a driver ticks in the replica that leads: it reads what changed, asks rollout for the next step, and writes state and orders in one batch under the lease's fence, each key conditional on the version read. Order numbers follow the store's version, so they only grow whoever writes. Weighed: one watch per prefix (six versions that do not fit together) against one of all keys; taken the latter. Orders that would restart a node outside a change go out one at a time. The change command is conditional writes over the same store. Tested: a whole change by ticks, the lead replaced before and after each of its 11 writes, a stalled lead, stop in each phase, joiners, cuts, lost answers, the bound of 20 past changes, 300 random interleavings of two drivers. The stalled lead's test is seen to fail without the fence, in a test of its own.

--- a/src/main/java/olivechute/config/Hocon.java
+++ b/src/main/java/olivechute/config/Hocon.java
@@ -125,6 +125,21 @@
         return value;
     }
 
+    /** A number, of which parts may be given. */
+    public double number(String name, double otherwise, double least, double most) {
+        double value = read(name, otherwise, "a number", c -> c.getDouble(name));
+        if (!(value >= least && value <= most)) {
+            wrong(name, "must be from " + least + " to " + most);
+            return otherwise;
+        }
+        return value;
+    }
+
+    /** The names of all keys that are there, where they are the operator's own. */
+    public List<String> names() {
+        return List.copyOf(new TreeSet<>(object.keySet()));
+    }
+
     /** A duration with its unit, as {@code 2s} or {@code 250ms}. */
     public Duration duration(String name, Duration otherwise, Duration least, Duration most) {
         ConfigValue value = value(name);
--- a/src/main/java/olivechute/lead/ChangeCommand.java
+++ b/src/main/java/olivechute/lead/ChangeCommand.java
@@ -1,19 +1,196 @@
 package olivechute.lead;
 
+import java.io.PrintWriter;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import olivechute.config.Hocon;
+import olivechute.fault.ChangeFault;
+import olivechute.fault.FaultKind;
+import olivechute.fault.FleetFault;
+import olivechute.fleet.wire.ChangeRecord;
+import olivechute.fleet.wire.ChangeSpec;
+import olivechute.fleet.wire.VersionSpec;
+import olivechute.rollout.Phase;
+import olivechute.store.ReplicaAddress;
+import olivechute.store.Store;
+import olivechute.store.raft.RatisStore;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
 
 /** Proposes, shows, pauses, resumes and stops a change of the fleet. */
 @Command(name = "change", mixinStandardHelpOptions = true, description = "Proposes, shows, pauses, resumes and stops a change of the fleet.",
     footer = "Exit status: 0 done, 1 settings that cannot be used or trouble that is told, 2 wrong call.")
 public final class ChangeCommand implements Callable<Integer> {
-    @Option(names = "--settings", required = true, paramLabel = "FILE", description = "Settings in HOCON.")
-    private Path settings;
+    /** Reaches the store. */
+    interface Stores {
+        Store connect(String region, List<ReplicaAddress> replicas, Duration timeout) throws FleetFault;
+    }
+
+    private interface Task {
+        int run(Changes changes, ChangeSettings settings, Store store) throws FleetFault;
+    }
+
+    /** What each subcommand has. */
+    static final class Shared {
+        @Option(names = "--settings", required = true, paramLabel = "FILE", description = "Settings in HOCON.")
+        private Path settings;
+    }
+
+    /** What a version is made of. */
+    static final class Made {
+        @Option(names = "--program", paramLabel = "JAR", description = "The program; at this path on every machine.")
+        private Path program;
+
+        @Option(names = "--digest", paramLabel = "SHA256", description = "The digest that the program must have.")
+        private String digest;
+
+        @Option(names = "--overlay", paramLabel = "FILE", description = "Settings laid over each node's own configuration.")
+        private Path overlay;
+
+        private VersionSpec spec(String id) throws FleetFault {
+            VersionSpec.Builder spec = VersionSpec.newBuilder().setId(id);
+            if (program != null) {
+                String found = Programs.digest(program);
+                Programs.check(program, found, digest);
+                spec.setProgram(program.toAbsolutePath().normalize().toString()).setDigest(found);
+            }
+            if (overlay != null) {
+                String text = ChangeSettings.text(overlay);
+                List<String> faults = new ArrayList<>();
+                Hocon.parse(text, faults);
+                if (!faults.isEmpty()) {
+                    throw new ChangeFault(FaultKind.CHANGE_INVALID, overlay + ": " + String.join("; ", faults));
+                }
+                spec.setSettings(text);
+            }
+            return spec.build();
+        }
+    }
+
+    @Spec
+    private CommandSpec spec;
+    private final Stores stores;
+
+    /** One that reaches the replicas that its settings name. */
+    public ChangeCommand() {
+        this(RatisStore::connect);
+    }
+
+    ChangeCommand(Stores stores) {
+        this.stores = stores;
+    }
 
     @Override
     public Integer call() {
+        spec.commandLine().usage(spec.commandLine().getErr());
         return 2;
     }
+
+    @Command(name = "base", mixinStandardHelpOptions = true, description = "Sets the first version of a new fleet.")
+    int base(@Mixin Shared shared, @Option(names = "--id", required = true, description = "The version's id.") String id,
+            @Mixin Made made) {
+        return run(shared, (changes, settings, store) -> {
+            changes.base(made.spec(id));
+            return told(List.of("base: " + id));
+        });
+    }
+
+    @Command(name = "propose", mixinStandardHelpOptions = true,
+        description = "Begins a change to a version made of a program, of settings or of both; what is not named stays as it is.")
+    int propose(@Mixin Shared shared, @Mixin Made made,
+            @Option(names = "--id", description = "Id of the change and of its version; the moment where it is not given.") String id) {
+        if (made.program == null && made.overlay == null) {
+            throw new ParameterException(spec.commandLine(), "name a --program, an --overlay or both");
+        }
+        String name = id != null ? id : DateTimeFormatter.ofPattern("yyyyMMdd-HHmmss").withZone(ZoneOffset.UTC).format(Instant.now());
+        return run(shared, (changes, settings, store) -> told(ChangeText.of(changes.propose(ChangeSpec.newBuilder().setId(name)
+            .addAllStages(settings.stages()).setMostAway(settings.mostAway()).setReadyWithinMs(settings.readyWithin().toMillis())
+            .setProposedBy(System.getProperty("user.name", "")).build(), made.spec(name)))));
+    }
+
+    @Command(name = "show", mixinStandardHelpOptions = true, description = "Shows the change under way, or the last one, and the nodes.")
+    int show(@Mixin Shared shared,
+            @Option(names = "--wait", paramLabel = "PHASE", description = "Waits until it is in this phase; 1 where it ends otherwise.")
+            Phase phase,
+            @Option(names = "--within", paramLabel = "SECONDS", defaultValue = "600", description = "Waits so long; then 1.")
+            long within) {
+        return run(shared, (changes, settings, store) -> {
+            boolean met = phase == null || await(store, phase, TimeUnit.SECONDS.toNanos(within));
+            told(ChangeText.of(changes.view()));
+            return met ? 0 : 1;
+        });
+    }
+
+    private static boolean await(Store store, Phase phase, long nanos) throws FleetFault {
+        long begun = System.nanoTime();
+        FleetView view = new FleetView();
+        view.take(store.list("change/"));
+        while (true) {
+            ChangeRecord newest = ChangeText.newest(view);
+            if (newest == null) {
+                throw new ChangeFault(FaultKind.CHANGE_UNKNOWN, "there was no change yet");
+            }
+            boolean met = newest.getPhase().equals(phase.name());
+            if (met || view.current().isEmpty() || System.nanoTime() - begun > nanos) {
+                return met;
+            }
+            view.take(store.watch("change/", view.version(), Duration.ofSeconds(1)));
+        }
+    }
+
+    @Command(name = "pause", mixinStandardHelpOptions = true, description = "Moves nothing more until it is resumed.")
+    int pause(@Mixin Shared shared) {
+        return run(shared, (changes, settings, store) -> told(ChangeText.of(changes.pause())));
+    }
+
+    @Command(name = "resume", mixinStandardHelpOptions = true, description = "Goes on with a paused change.")
+    int resume(@Mixin Shared shared) {
+        return run(shared, (changes, settings, store) -> told(ChangeText.of(changes.resume())));
+    }
+
+    @Command(name = "stop", mixinStandardHelpOptions = true, description = "Takes the new nodes back to the version before.")
+    int stop(@Mixin Shared shared) {
+        return run(shared, (changes, settings, store) -> told(ChangeText.of(changes.stop())));
+    }
+
+    @Command(name = "forget", mixinStandardHelpOptions = true, description = "Forgets a node that will not come back.")
+    int forget(@Mixin Shared shared, @Parameters(paramLabel = "NODE", description = "The node's name.") String node) {
+        return run(shared, (changes, settings, store) -> {
+            changes.forget(node);
+            return told(List.of("forgotten: " + node));
+        });
+    }
+
+    private int run(Shared shared, Task task) {
+        try {
+            ChangeSettings settings = ChangeSettings.load(shared.settings);
+            try (Store store = stores.connect(settings.region(), settings.replicas(), settings.timeout())) {
+                return task.run(new Changes(store, System::currentTimeMillis), settings, store);
+            }
+        } catch (FleetFault e) {
+            PrintWriter err = spec.commandLine().getErr();
+            err.println(e.getMessage());
+            err.flush();
+            return 1;
+        }
+    }
+
+    private int told(List<String> lines) {
+        PrintWriter out = spec.commandLine().getOut();
+        lines.forEach(out::println);
+        out.flush();
+        return 0;
+    }
 }
--- /dev/null
+++ b/src/main/java/olivechute/lead/Driver.java
@@ -0,0 +1,158 @@
+package olivechute.lead;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import olivechute.fault.ChangeFault;
+import olivechute.fault.FaultKind;
+import olivechute.fault.StoreFault;
+import olivechute.fleet.wire.ChangeRecord;
+import olivechute.net.Threads;
+import olivechute.store.Store;
+import org.tinylog.Logger;
+
+/**
+ * Drives the change under way from the replica that leads. Each tick reads what changed, decides, and writes the change's next state with
+ * the orders that follow in one write under the lease's fence; what another took over or changed meanwhile refuses it whole. Without an
+ * answer of the store nothing is done. {@link #tick} is for one thread at a time.
+ */
+public final class Driver implements AutoCloseable {
+    static final Duration TTL = Duration.ofSeconds(2);
+
+    private final Store store;
+    private final BooleanSupplier leads;
+    private final LongSupplier clockMs;
+    private final Duration tick;
+    private final TickPlan.Steps steps;
+    private final String owner;
+    private final CountDownLatch closing = new CountDownLatch(1);
+    private Store.Lease lease;
+    private FleetView view;             // null: to be read anew
+    private long now;
+    private String last = "";           // trouble or state told last, so that each is told once
+    private Thread thread;
+
+    /** {@code leads}: whether this process's replica leads; {@code clockMs}: ms since the epoch; {@code replica}: its id. */
+    public Driver(Store store, BooleanSupplier leads, LongSupplier clockMs, LeadSettings settings, String replica) {
+        this(store, leads, clockMs, settings.tick(), settings.steps(), replica);
+    }
+
+    Driver(Store store, BooleanSupplier leads, LongSupplier clockMs, Duration tick, TickPlan.Steps steps, String replica) {
+        this.store = store;
+        this.leads = leads;
+        this.clockMs = clockMs;
+        this.tick = tick;
+        this.steps = steps;
+        this.owner = replica + "-" + clockMs.getAsLong();
+    }
+
+    /** Ticks on a thread of its own until closed. */
+    public Driver start() {
+        thread = Threads.start("rollout", this::run);
+        return this;
+    }
+
+    private void run() {
+        try {
+            do {
+                try {
+                    tick();
+                } catch (RuntimeException e) {
+                    view = null;
+                    Logger.error(e, "a tick of the change failed");     // thrown on, it would end the driving for good
+                }
+            } while (!closing.await(tick.toMillis(), TimeUnit.MILLISECONDS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        letGo();
+    }
+
+    /** Reads, decides and writes once; whether anything was written. */
+    boolean tick() {
+        if (!leads.getAsBoolean()) {
+            letGo();
+            return false;
+        }
+        try {
+            if (lease == null) {
+                view = null;
+                lease = store.acquire(Keys.LEASE, owner, TTL);
+                Logger.info("drives changes under fence {}", lease.session());
+            } else {
+                store.renew(lease);
+            }
+            if (view == null) {
+                FleetView fresh = new FleetView();
+                fresh.take(store.list(""));
+                view = fresh;
+            } else {
+                view.take(store.watch("", view.version(), Duration.ZERO));
+            }
+            now = Math.max(now, clockMs.getAsLong());
+            TickPlan plan = TickPlan.of(view, steps, now, lease.session());
+            if (plan.writes().isEmpty()) {
+                return false;
+            }
+            store.write(plan.writes(), List.of(lease.fence()));
+            tell(plan.change());
+            return true;
+        } catch (StoreFault e) {
+            refused(e);
+        } catch (ChangeFault e) {
+            once(e.getMessage());
+        }
+        return false;
+    }
+
+    private void refused(StoreFault e) {
+        view = null;                    // the write may have taken effect, or others did: read anew before anything else
+        if (e.kind() == FaultKind.STALE_FENCE || e.kind() == FaultKind.SESSION_ENDED) {
+            lease = null;
+        }
+        if (e.kind() != FaultKind.CONFLICT && e.kind() != FaultKind.LEASE_HELD) {
+            once(e.getMessage());
+        }
+    }
+
+    private void tell(ChangeRecord change) {
+        if (change != null) {
+            once("change " + change.getSpec().getId() + " is " + change.getPhase() + " at stage " + change.getStage() + ": "
+                + change.getReason());
+        }
+    }
+
+    private void once(String text) {
+        if (!text.equals(last)) {
+            last = text;
+            Logger.info("{}", text);
+        }
+    }
+
+    private void letGo() {
+        view = null;
+        if (lease != null) {
+            try {
+                store.release(lease);
+            } catch (StoreFault e) {
+                Logger.debug("the lease runs out by itself: {}", e.getMessage());
+            }
+            lease = null;
+        }
+    }
+
+    @Override
+    public void close() {
+        closing.countDown();
+        try {
+            if (thread != null) {
+                thread.join(TTL.toMillis());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/olivechute/lead/Keys.java
@@ -0,0 +1,15 @@
+package olivechute.lead;
+
+/** Where in the store things are kept; see fleet.proto. */
+final class Keys {
+    static final String LEASE = "lead/rollout";
+    static final String BASE = "base";
+    static final String CURRENT = "change/current";
+    static final String PAST = "change/past/";
+    static final String VERSION = "version/";
+    static final String ORDER = "order/";
+    static final String MACHINE = "machine/";
+    static final String FIGURES = "figures/";
+
+    private Keys() { }
+}
--- /dev/null
+++ b/src/test/java/olivechute/lead/LeadRig.java
@@ -0,0 +1,100 @@
+package olivechute.lead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.time.Duration;
+import java.util.List;
+import olivechute.fault.FleetFault;
+import olivechute.fault.StoreFault;
+import olivechute.fleet.wire.ChangeRecord;
+import olivechute.fleet.wire.ChangeSpec;
+import olivechute.fleet.wire.StageSpec;
+import olivechute.fleet.wire.VersionSpec;
+import olivechute.store.MemoryStore;
+
+/** A store in memory, a scripted fleet at its base v1, and two drivers of it in virtual time. */
+final class LeadRig {
+    private static final long ROUND_MS = 1000;
+
+    final TestClock clock = new TestClock();
+    final MemoryStore store = new MemoryStore(clock);
+    final WatchedStore.Orders orders = new WatchedStore.Orders();
+    final WatchedStore firstSees = new WatchedStore(store, orders);
+    final WatchedStore secondSees = new WatchedStore(store, orders);
+    final Driver first;
+    final Driver second;
+    final Changes changes = new Changes(store, clock);
+    final ScriptedFleet fleet;
+
+    LeadRig(int nodes) throws FleetFault {
+        this(nodes, new PlainSteps());
+    }
+
+    LeadRig(int nodes, TickPlan.Steps steps) throws FleetFault {
+        first = new Driver(firstSees, () -> true, clock, Duration.ofSeconds(1), steps, "r1");
+        second = new Driver(secondSees, () -> true, clock, Duration.ofSeconds(1), steps, "r2");
+        fleet = new ScriptedFleet(store, clock, nodes);
+        changes.base(VersionSpec.newBuilder().setId("v1").setProgram("/p1").setDigest("d1").build());
+        rounds(3);
+        assertEquals(0, fleet.away());
+    }
+
+    /** The change to a version, in a stage of one node and one of all. */
+    static ChangeSpec spec(String id) {
+        return ChangeSpec.newBuilder().setId(id).setMostAway(1).setReadyWithinMs(30_000)
+            .addStages(StageSpec.newBuilder().setNodes(1).setLeastMs(3000).setLongestMs(600_000).setLeastJobs(10))
+            .addStages(StageSpec.newBuilder().setPercent(100).setLeastMs(3000).setLongestMs(600_000).setLeastJobs(10)).build();
+    }
+
+    ChangeRecord propose(String id) throws FleetFault {
+        return changes.propose(spec(id), VersionSpec.newBuilder().setId(id).setSettings("a = 1").build());
+    }
+
+    /** The first driver's tick, and a second of the fleet. */
+    void round() throws StoreFault {
+        first.tick();
+        rest();
+    }
+
+    void rest() throws StoreFault {
+        fleet.round();
+        clock.pass(ROUND_MS);
+    }
+
+    void rounds(int count) throws StoreFault {
+        for (int i = 0; i < count; i++) {
+            round();
+        }
+    }
+
+    boolean underWay() throws FleetFault {
+        return changes.view().current().isPresent();
+    }
+
+    void untilEnded() throws FleetFault {
+        for (int i = 0; underWay(); i++) {
+            assertFalse(i > 1000, "still under way: " + i);
+            round();
+        }
+        rounds(2);
+    }
+
+    ChangeRecord current() throws FleetFault {
+        return changes.view().current().orElseThrow();
+    }
+
+    ChangeRecord past(String id) throws FleetFault {
+        return FleetCodec.read(ChangeRecord.parser(), id, store.get(Keys.PAST + id).orElseThrow().value());
+    }
+
+    int orderCount() {
+        return orders.written.values().stream().mapToInt(List::size).sum();
+    }
+
+    /** Each node was given these versions, one order each, with numbers that grow. */
+    void eachOrdered(List<String> versions) {
+        orders.versions().forEach((node, given) -> assertEquals(versions, given, node));
+        assertEquals(List.of(), orders.broken);
+    }
+}
--- /dev/null
+++ b/src/test/java/olivechute/lead/ScriptedFleet.java
@@ -0,0 +1,146 @@
+package olivechute.lead;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import olivechute.fault.StoreFault;
+import olivechute.fleet.wire.MachineReport;
+import olivechute.fleet.wire.NodeState;
+import olivechute.fleet.wire.Order;
+import olivechute.rollout.ClassCounts;
+import olivechute.rollout.Figures;
+import olivechute.rollout.NodePhase;
+import olivechute.store.MemoryStore;
+import olivechute.store.Store;
+import olivechute.store.Store.Write;
+
+/**
+ * Machines of one node each that carry out the orders in a store as supervisors do: a lease each, only higher numbers, a round of
+ * {@code STARTING} before {@code READY}. Notes each order carried out, and those that broke the rule of numbers.
+ */
+final class ScriptedFleet {
+    private static final Duration TTL = Duration.ofSeconds(5);
+
+    private static final class Node {
+        String version = "";
+        NodePhase phase = NodePhase.DOWN;
+        long since;
+        long number;
+        long incarnation;
+        long taken;
+        long rounds;
+        Store.Lease lease;
+        boolean cut;
+    }
+
+    private final MemoryStore store;
+    private final TestClock clock;
+    private final Map<String, Node> nodes = new TreeMap<>();
+    /** "NODE VERSION" of each order carried out, in order. */
+    final List<String> carried = new ArrayList<>();
+
+    ScriptedFleet(MemoryStore store, TestClock clock, int count) {
+        this.store = store;
+        this.clock = clock;
+        for (int i = 1; i <= count; i++) {
+            join("n" + i);
+        }
+    }
+
+    void join(String name) {
+        nodes.put(name, new Node());
+    }
+
+    /** The machine's link breaks; its lease runs out by itself. */
+    void cut(String name, boolean cut) {
+        nodes.get(name).cut = cut;
+    }
+
+    String version(String name) {
+        return nodes.get(name).version;
+    }
+
+    TreeSet<String> versions() {
+        TreeSet<String> all = new TreeSet<>();
+        nodes.values().forEach(n -> all.add(n.version));
+        return all;
+    }
+
+    /** Nodes that do not answer that they are ready. */
+    long away() {
+        return nodes.values().stream().filter(n -> n.phase != NodePhase.READY).count();
+    }
+
+    /** One second of every supervisor: what is started is ready now, then the newest order, then the report. */
+    void round() throws StoreFault {
+        for (Map.Entry<String, Node> each : nodes.entrySet()) {
+            if (!each.getValue().cut) {
+                round(each.getKey(), each.getValue());
+            }
+        }
+    }
+
+    private void round(String name, Node node) throws StoreFault {
+        lease(name, node);
+        if (node.phase == NodePhase.STARTING) {
+            node.phase = NodePhase.READY;
+            node.since = clock.getAsLong();
+        }
+        Optional<Store.Entry> entry = store.get(Keys.ORDER + name);
+        if (entry.isPresent()) {
+            Order order = read(entry.get());
+            if (order.getNumber() > node.number) {
+                node.number = order.getNumber();
+                if (!order.getVersion().equals(node.version)) {
+                    carried.add(name + " " + order.getVersion());
+                    node.version = order.getVersion();
+                    node.phase = NodePhase.STARTING;
+                    node.since = clock.getAsLong();
+                    node.incarnation = clock.getAsLong() * 1000;
+                    node.taken = 0;
+                    node.rounds = 0;
+                }
+            }
+        }
+        NodeState state = NodeState.newBuilder().setNode(name).setZone("z" + name.hashCode() % 2).setVersion(node.version)
+            .setPhase(node.phase.name()).setSinceMs(node.since).setOrderNumber(node.number).build();
+        MachineReport report = MachineReport.newBuilder().setMachine("m-" + name).setFence(node.lease.session()).addNodes(state)
+            .setAtMs(clock.getAsLong()).build();
+        List<Write> writes = new ArrayList<>();
+        writes.add(new Write(Keys.MACHINE + "m-" + name, report.toByteArray(), null, node.lease.session()));
+        if (node.phase == NodePhase.READY) {
+            node.taken += 40;
+            node.rounds++;
+            ClassCounts counts = new ClassCounts(node.taken, node.taken, 0, 0, 0, 0);
+            Figures figures = new Figures(name, node.version, node.incarnation, node.rounds, Map.of("sign", counts), 0,
+                new long[] {node.taken});
+            writes.add(Write.put(Keys.FIGURES + name, FleetCodec.figures(figures, clock.getAsLong()).toByteArray()));
+        }
+        store.write(writes, List.of(node.lease.fence()));
+    }
+
+    private void lease(String name, Node node) throws StoreFault {
+        if (node.lease != null) {
+            try {
+                store.renew(node.lease);
+                return;
+            } catch (StoreFault e) {
+                node.lease = null;      // it ran out: taken anew
+            }
+        }
+        node.lease = store.acquire("machine/m-" + name, "m-" + name, TTL);
+    }
+
+    static Order read(Store.Entry entry) {
+        try {
+            return Order.parseFrom(entry.value());
+        } catch (InvalidProtocolBufferException e) {
+            throw new AssertionError(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/olivechute/lead/WatchedStore.java
@@ -0,0 +1,130 @@
+package olivechute.lead;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import olivechute.fault.StoreFault;
+import olivechute.fleet.wire.Order;
+import olivechute.store.Store;
+
+/**
+ * A store as one driver sees it, with a hand in each of its writes: something may happen before or after, or the fences be left out. Notes
+ * every order written, and what broke the rule that a node's numbers only grow.
+ */
+final class WatchedStore implements Store {
+    /** What happens around a write. */
+    interface Hand {
+        void run() throws StoreFault;
+    }
+
+    /** The orders that all drivers of a store wrote. */
+    static final class Orders {
+        final Map<String, List<Order>> written = new TreeMap<>();
+        final List<String> broken = new ArrayList<>();
+
+        void add(Order order) {
+            List<Order> before = written.computeIfAbsent(order.getNode(), n -> new ArrayList<>());
+            if (!before.isEmpty() && before.get(before.size() - 1).getNumber() >= order.getNumber()) {
+                broken.add(order.getNode() + ": " + order.getNumber() + " after " + before.get(before.size() - 1).getNumber());
+            }
+            before.add(order);
+        }
+
+        /** Versions ordered to each node, in order. */
+        Map<String, List<String>> versions() {
+            Map<String, List<String>> all = new HashMap<>();
+            written.forEach((node, orders) -> all.put(node, orders.stream().map(Order::getVersion).toList()));
+            return all;
+        }
+    }
+
+    private final Store store;
+    private final Orders orders;
+    private Hand before;
+    private Hand after;
+    private boolean fenced = true;
+
+    WatchedStore(Store store, Orders orders) {
+        this.store = store;
+        this.orders = orders;
+    }
+
+    /** Once, before the next write of this one reaches the store. */
+    void before(Hand hand) {
+        before = hand;
+    }
+
+    /** Once, after the next write took effect and before its writer hears of it. */
+    void after(Hand hand) {
+        after = hand;
+    }
+
+    /** Whether what was to happen has not happened yet. */
+    boolean waits() {
+        return before != null || after != null;
+    }
+
+    void unfenced() {
+        fenced = false;
+    }
+
+    @Override
+    public long write(List<Write> writes, List<Fence> fences) throws StoreFault {
+        Hand first = before;
+        before = null;
+        if (first != null) {
+            first.run();
+        }
+        long version = store.write(writes, fenced ? fences : List.of());
+        for (Write each : writes) {
+            if (each.key().startsWith(Keys.ORDER) && each.value() != null) {
+                orders.add(ScriptedFleet.read(new Entry(each.key(), each.value(), version)));
+            }
+        }
+        Hand then = after;
+        after = null;
+        if (then != null) {
+            then.run();
+        }
+        return version;
+    }
+
+    @Override
+    public Optional<Entry> get(String key) throws StoreFault {
+        return store.get(key);
+    }
+
+    @Override
+    public Changes list(String prefix) throws StoreFault {
+        return store.list(prefix);
+    }
+
+    @Override
+    public Changes watch(String prefix, long since, Duration wait) throws StoreFault {
+        return store.watch(prefix, since, wait);
+    }
+
+    @Override
+    public Lease acquire(String name, String owner, Duration ttl) throws StoreFault {
+        return store.acquire(name, owner, ttl);
+    }
+
+    @Override
+    public void renew(Lease lease) throws StoreFault {
+        store.renew(lease);
+    }
+
+    @Override
+    public void release(Lease lease) throws StoreFault {
+        store.release(lease);
+    }
+
+    @Override
+    public void close() {
+        store.close();
+    }
+}
