See the checker's rule on nodes away fail in two more ways

A mutation of the checker that told each step of one overlap as a violation of its own, and one that took a node not started yet for away, stayed green.

--- a/src/test/java/olivechute/rig/FleetCheckTest.java
+++ b/src/test/java/olivechute/rig/FleetCheckTest.java
@@ -100,14 +100,15 @@
     void findsTooManyAwayOnceForEachTime() {
         looks(0, 100, 300);
         looks(1, 200, 400);
-        looks(2, 240, 260);
+        looks(2, 240, 300);
         looks(3, 600, 800);
         assertEquals(List.of(Rule.TOO_MANY_AWAY), found(1));
-        assertEquals(List.of(), found(2));
+        assertEquals(List.of(Rule.TOO_MANY_AWAY), found(2));
+        assertEquals(List.of(), found(3));
         assertEquals(List.of(), found(-1));
         looks(4, 700, 760);
         assertEquals(List.of(Rule.TOO_MANY_AWAY, Rule.TOO_MANY_AWAY), found(1));
-        assertEquals(List.of(), found(2));
+        assertEquals(List.of(), found(3));
     }
 
     @Test
