Drive changes from the replica that leads

The store's command starts the driver of changes beside its replica: a client of the group that acts only while its own replica leads, under the lease lead/rollout. The driver's settings are the object rollout of the replica's file; each of the two readers passes over the other's keys and names the faults of its own.

--- a/src/main/java/olivechute/StoreCommand.java
+++ b/src/main/java/olivechute/StoreCommand.java
@@ -1,8 +1,12 @@
 package olivechute;
 
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.concurrent.Callable;
 import olivechute.fault.FleetFault;
+import olivechute.lead.Driver;
+import olivechute.lead.LeadSettings;
+import olivechute.store.raft.RatisStore;
 import olivechute.store.raft.Replica;
 import olivechute.store.raft.ReplicaSettings;
 import picocli.CommandLine.Command;
@@ -14,6 +18,8 @@
 @Command(name = "store", mixinStandardHelpOptions = true, description = "Runs one replica of the shared store.",
     footer = "Exit status: 0 done, 1 settings that cannot be used or trouble that is told, 2 wrong call.")
 final class StoreCommand implements Callable<Integer> {
+    private static final Duration PATIENCE = Duration.ofSeconds(1);
+
     @Spec
     private CommandSpec spec;
 
@@ -23,10 +29,14 @@
     @Override
     public Integer call() throws InterruptedException {
         try {
-            Replica replica = new Replica(ReplicaSettings.load(settings), this::say);
-            // The driver of changes goes here: replica.onLead(...).
+            ReplicaSettings own = ReplicaSettings.load(settings);
+            LeadSettings rollout = LeadSettings.load(settings);
+            Replica replica = new Replica(own, this::say);
             replica.start();
             Runtime.getRuntime().addShutdownHook(new Thread(replica::close, "close"));
+            // The driver is a client like any other: that the lead is its own process saves it nothing but a hop.
+            new Driver(RatisStore.connect(own.region(), own.replicas(), PATIENCE), replica::leads, System::currentTimeMillis, rollout,
+                own.id()).start();
             FleetFault fault = replica.ended().get();
             say(fault.getMessage());
         } catch (FleetFault e) {
--- a/src/main/java/olivechute/lead/LeadSettings.java
+++ b/src/main/java/olivechute/lead/LeadSettings.java
@@ -1,9 +1,17 @@
 package olivechute.lead;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import olivechute.config.Hocon;
+import olivechute.fault.FaultKind;
+import olivechute.fault.SettingsFault;
+import olivechute.figures.Delay;
 import olivechute.rollout.Rollout;
 import olivechute.rollout.Worths;
 
@@ -11,6 +19,21 @@
 public record LeadSettings(Worths worths, Duration tick) {
     private static final double MOST_WORTH = 1e6;
 
+    /** Reads the file of a replica; SETTINGS_INVALID names every fault in its object {@code rollout}. */
+    public static LeadSettings load(Path file) throws SettingsFault {
+        try {
+            List<String> faults = new ArrayList<>();
+            LeadSettings settings = read(Hocon.parse(Files.readString(file), faults).node("rollout"),
+                Delay.BOUNDS.stream().mapToLong(Long::longValue).toArray());
+            if (!faults.isEmpty()) {
+                throw new SettingsFault(FaultKind.SETTINGS_INVALID, String.join("; ", faults));
+            }
+            return settings;
+        } catch (IOException e) {
+            throw new SettingsFault(FaultKind.SETTINGS_INVALID, file + " cannot be read", e);
+        }
+    }
+
     /**
      * Reads the object {@code rollout} of the store's settings: {@code worth} of each class, 1 where it is not named; {@code late}, the
      * part of it that a job served late still has; {@code tick}. Faults go to the reader's list. {@code delayBoundsUs}: upper ends of
--- a/src/main/java/olivechute/store/raft/ReplicaSettings.java
+++ b/src/main/java/olivechute/store/raft/ReplicaSettings.java
@@ -59,6 +59,7 @@
             bounds.integer("value_kb", 512, 1, 2048) * 1024, bounds.integer("leases", 1_000, 1, 100_000),
             bounds.integer("watches", 500, 1, 10_000));
         bounds.close();
+        root.has("rollout");                    // the driver's, read by it
         root.close();
         if (faults.isEmpty() && replicas.stream().noneMatch(r -> r.id().equals(settings.id()))) {
             root.wrong("id", "must be one of the replicas");
