--- a/src/main/java/olivechute/lead/LeadSettings.java
+++ b/src/main/java/olivechute/lead/LeadSettings.java
@@ -1,9 +1,14 @@
 package olivechute.lead;
 
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import olivechute.config.Hocon;
+import olivechute.fault.FaultKind;
+import olivechute.fault.SettingsFault;
 import olivechute.rollout.Rollout;
 import olivechute.rollout.Worths;
 
@@ -12,11 +17,20 @@
     private static final double MOST_WORTH = 1e6;
 
     /**
-     * Reads the object {@code rollout} of the store's settings: {@code worth} of each class, 1 where it is not named; {@code late}, the
-     * part of it that a job served late still has; {@code tick}. Faults go to the reader's list. {@code delayBoundsUs}: upper ends of
-     * the buckets in which nodes count their delay, in us.
+     * Reads the object {@code rollout} of a replica's settings file and nothing else of it: {@code worth} of each class, 1 where it is not
+     * named; {@code late}, the part of it that a job of a named class served late still has; {@code tick}. SETTINGS_INVALID with all that
+     * is wrong. {@code delayBoundsUs}: upper ends of the buckets in which nodes count their delay, in us.
      */
-    public static LeadSettings read(Hocon rollout, long[] delayBoundsUs) {
+    public static LeadSettings load(Path file, long[] delayBoundsUs) throws SettingsFault {
+        List<String> faults = new ArrayList<>();
+        LeadSettings settings = read(Hocon.parse(ChangeSettings.text(file), faults).node("rollout"), delayBoundsUs);
+        if (!faults.isEmpty()) {
+            throw new SettingsFault(FaultKind.SETTINGS_INVALID, file + ": " + String.join("; ", faults));
+        }
+        return settings;
+    }
+
+    private static LeadSettings read(Hocon rollout, long[] delayBoundsUs) {
         Hocon each = rollout.node("worth");
         double late = rollout.number("late", 0.2, 0, 1);
         Map<String, Double> worth = new HashMap<>();
--- a/src/test/java/olivechute/lead/WatchedStore.java
+++ b/src/test/java/olivechute/lead/WatchedStore.java
@@ -15,7 +15,7 @@
  * A store as one driver sees it, with a hand in each of its writes: something may happen before or after, or the fences be left out. Notes
  * every order written, and what broke the rule that a node's numbers only grow.
  */
-final class WatchedStore implements Store {
+class WatchedStore implements Store {
     /** What happens around a write. */
     interface Hand {
         void run() throws StoreFault;
