--- a/src/main/java/olivechute/StoreCommand.java
+++ b/src/main/java/olivechute/StoreCommand.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.concurrent.Callable;
 import olivechute.fault.FleetFault;
+import olivechute.figures.Delay;
 import olivechute.lead.Driver;
 import olivechute.lead.LeadSettings;
 import olivechute.store.raft.RatisStore;
@@ -30,7 +31,7 @@
     public Integer call() throws InterruptedException {
         try {
             ReplicaSettings own = ReplicaSettings.load(settings);
-            LeadSettings rollout = LeadSettings.load(settings);
+            LeadSettings rollout = LeadSettings.load(settings, Delay.BOUNDS.stream().mapToLong(Long::longValue).toArray());
             Replica replica = new Replica(own, this::say);
             replica.start();
             Runtime.getRuntime().addShutdownHook(new Thread(replica::close, "close"));
