Let a replica leave the group while its disk takes no writes, and come back

Needed: a full disk must cost neither acknowledged writes nor the group. A probe is written and settled four times a second, as far into a file as the log reaches; over trouble, of it or of the log, the lead is passed on and the consensus closed; it begins anew once three looks in a row are good and the reserve has room again.

--- a/src/main/java/olivechute/StoreCommand.java
+++ b/src/main/java/olivechute/StoreCommand.java
@@ -21,18 +21,19 @@
     private Path settings;
 
     @Override
-    public Integer call() throws InterruptedException {
+    public Integer call() {
         try {
             Replica replica = new Replica(ReplicaSettings.load(settings), this::say);
             // The driver of changes goes here: replica.onLead(...).
             replica.start();
             Runtime.getRuntime().addShutdownHook(new Thread(replica::close, "close"));
-            FleetFault fault = replica.ended().get();
+            FleetFault fault = replica.ended().join();
+            if (fault == null) {
+                return 0;
+            }
             say(fault.getMessage());
         } catch (FleetFault e) {
             say(e.getMessage());
-        } catch (java.util.concurrent.ExecutionException e) {
-            say(e.getMessage());
         }
         return 1;
     }
--- a/src/main/java/olivechute/store/raft/Member.java
+++ b/src/main/java/olivechute/store/raft/Member.java
@@ -2,9 +2,12 @@
 
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
-import olivechute.fault.StoreFault;
+import olivechute.store.ReplicaAddress;
 import olivechute.store.StoreMachine;
 import olivechute.store.StoreMessages;
 import olivechute.store.wire.Command;
@@ -16,6 +19,7 @@
 import org.apache.ratis.protocol.RaftGroup;
 import org.apache.ratis.protocol.RaftPeerId;
 import org.apache.ratis.protocol.SnapshotManagementRequest;
+import org.apache.ratis.protocol.TransferLeadershipRequest;
 import org.apache.ratis.server.RaftServer;
 import org.apache.ratis.server.storage.RaftStorage;
 import org.apache.ratis.thirdparty.com.google.protobuf.UnsafeByteOperations;
@@ -24,6 +28,7 @@
 /** The consensus of one replica between a start and an end of it; trouble at the disk ends one and begins the next. */
 final class Member implements AutoCloseable {
     private static final int SNAPSHOT_WITHIN_MS = 60_000;
+    private static final int PASS_WITHIN_MS = 800;
 
     private final ReplicaSettings settings;
     private final RaftGroup group;
@@ -34,7 +39,6 @@
     private final Snapshots snapshots;
     private final RatisMachine machine;
     private final RaftServer server;
-    private volatile boolean announced;
     private CompletableFuture<RaftClientReply> asked = CompletableFuture.completedFuture(null);
 
     Member(ReplicaSettings settings, Folder folder, RatisMachine.Listener listener, Supplier<String> disk) throws IOException {
@@ -42,7 +46,8 @@
         this.disk = disk;
         group = Wiring.group(settings.region(), settings.replicas());
         id = RaftPeerId.valueOf(settings.id());
-        snapshots = new Snapshots(folder.path().resolve("snapshot.tmp"), settings.snapshotEvery(), this::snapshot);
+        snapshots = new Snapshots(folder.path().resolve("snapshot.tmp"), settings.snapshotEvery(), settings.snapshotBytes(),
+            this::snapshot);
         machine = new RatisMachine(new StoreMachine(Replica.bounds(settings)), snapshots, System::currentTimeMillis, this::status, listener);
         server = RaftServer.newBuilder().setServerId(id).setGroup(group).setStateMachine(machine)
             .setOption(RaftStorage.StartupOption.RECOVER).setProperties(Wiring.server(settings, folder.log())).build();
@@ -87,22 +92,48 @@
         }
     }
 
+    /** Whether the consensus ended by itself, which it does where it cannot keep what it should. */
+    boolean over() {
+        try {
+            return server.getDivision(group.getGroupId()).getInfo().getLifeCycleState().isClosingOrClosed();
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    /** Hands the lead to another, as far as that is done in a moment. */
+    void passOn() {
+        for (ReplicaAddress each : settings.replicas()) {
+            if (leadsNow() && !each.id().equals(settings.id())) {
+                try {
+                    server.transferLeadershipAsync(new TransferLeadershipRequest(caller, id, group.getGroupId(), calls.incrementAndGet(),
+                        RaftPeerId.valueOf(each.id()), PASS_WITHIN_MS)).get(PASS_WITHIN_MS, TimeUnit.MILLISECONDS);
+                } catch (IOException | ExecutionException | TimeoutException e) {
+                    Logger.info("lead not passed to {}: {}", each.id(), e.toString());
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    return;
+                }
+            }
+        }
+    }
+
     /** A quarter of a second has passed: watches end, and where this replica leads, leases do. */
     void tick() {
         machine.expireWatches();
         if (leadsNow() && asked.isDone() && machine.leases() > 0) {
-            submit(StoreMessages.tick());
+            asked = submit(StoreMessages.tick());
         }
     }
 
-    private void submit(Command command) {
+    private CompletableFuture<RaftClientReply> submit(Command command) {
         try {
-            asked = server.submitClientRequestAsync(RaftClientRequest.newBuilder().setClientId(caller).setServerId(id)
+            return server.submitClientRequestAsync(RaftClientRequest.newBuilder().setClientId(caller).setServerId(id)
                 .setGroupId(group.getGroupId()).setCallId(calls.incrementAndGet())
                 .setMessage(Message.valueOf(UnsafeByteOperations.unsafeWrap(command.toByteArray())))
                 .setType(RaftClientRequest.writeRequestType()).build());
         } catch (IOException e) {
-            Logger.debug("not asked: {}", e.toString());
+            return CompletableFuture.failedFuture(e);
         }
     }
 
--- a/src/main/java/olivechute/store/raft/RatisMachine.java
+++ b/src/main/java/olivechute/store/raft/RatisMachine.java
@@ -153,7 +153,7 @@
         }
         updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
         watches.onChange(state);
-        snapshots.onApplied(state, TermIndex.valueOf(entry));
+        snapshots.onApplied(state, TermIndex.valueOf(entry), entry.getSerializedSize());
         return CompletableFuture.completedFuture(message(reply));
     }
 
--- a/src/main/java/olivechute/store/raft/Replica.java
+++ b/src/main/java/olivechute/store/raft/Replica.java
@@ -1,6 +1,8 @@
 package olivechute.store.raft;
 
 import java.io.IOException;
+import java.net.BindException;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
@@ -10,7 +12,11 @@
 import olivechute.fault.DiskFault;
 import olivechute.fault.FaultKind;
 import olivechute.fault.FleetFault;
+import olivechute.fault.SettingsFault;
+import olivechute.fault.StoreFault;
 import olivechute.store.Bounds;
+import olivechute.store.StoreMachine;
+import olivechute.store.StoreMessages;
 import org.apache.ratis.protocol.RaftPeerId;
 import org.tinylog.Logger;
 
@@ -19,16 +25,18 @@
  * it cannot go on.
  */
 public final class Replica implements AutoCloseable {
+    private static final int TICK_MS = 250;
+    private static final Duration ANNOUNCE_WITHIN = Duration.ofSeconds(5);
+
     private final ReplicaSettings settings;
     private final Consumer<String> say;
     private final CopyOnWriteArrayList<Consumer<Boolean>> onLead = new CopyOnWriteArrayList<>();
-    private final ScheduledExecutorService events = Executors.newSingleThreadScheduledExecutor(task -> {
-        Thread thread = new Thread(task, "replica");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ScheduledExecutorService events = thread("events");
+    private final ScheduledExecutorService disk = thread("disk");
+    private final Thread announcer = new Thread(this::announce, "announce");
     private final CompletableFuture<FleetFault> ended = new CompletableFuture<>();
     private Folder folder;
+    private DiskGuard guard;
     private volatile Member member;
     private volatile boolean leads;
 
@@ -38,31 +46,98 @@
         this.say = line -> say.accept("replica " + settings.id() + " " + line);
     }
 
+    private static ScheduledExecutorService thread(String name) {
+        return Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
     /** Calls with true once it leads, with false once no more, one after the other on one thread that must not be held up long. */
     public void onLead(Consumer<Boolean> listener) {
         onLead.add(listener);
     }
 
-    /** Takes the folder and begins to serve. Faults: DATA_IN_USE, DATA_FOREIGN, DATA_CORRUPT, DISK_FULL, DISK_BROKEN. */
+    /** Takes the folder and begins to serve, or waits for room there. Faults: DATA_IN_USE, DATA_FOREIGN, DATA_CORRUPT, DISK_BROKEN. */
     public void start() throws FleetFault {
-        folder = Folder.take(settings.folder(), settings.id() + " of group " + Wiring.group(settings.region(), settings.replicas()).getGroupId().getUuid());
+        folder = Folder.take(settings.folder(), settings.id() + " of group "
+            + Wiring.group(settings.region(), settings.replicas()).getGroupId().getUuid());
+        guard = new DiskGuard(new DiskProbe(settings.folder(), settings.segmentBytes()), settings.quotaBytes(), this::disk);
         try {
-            begin();
+            if (guard.look()) {
+                begin();
+            }
         } catch (FleetFault e) {
             folder.close();
             throw e;
         }
-        say.accept("serves on " + settings.own().address());
-        events.scheduleWithFixedDelay(this::tick, 250, 250, TimeUnit.MILLISECONDS);
+        events.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        disk.scheduleWithFixedDelay(this::look, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        announcer.setDaemon(true);
+        announcer.start();
     }
 
     private void begin() throws FleetFault {
         try {
-            member = new Member(settings, folder, new Events(), () -> "");
-            member.start();
+            Member next = new Member(settings, folder, new Events(), guard::word);
+            member = next;
+            next.start();
+            say.accept("serves on " + settings.own().address());
         } catch (IOException e) {
-            FleetFault fault = CarriedFault.behind(e);
-            throw fault != null ? fault : new DiskFault(FaultKind.DATA_CORRUPT, "folder " + folder.path() + ": " + e, e);
+            throw fault(e);
+        }
+    }
+
+    /** What keeps the consensus from a start; a failed read is mostly one of what was written. */
+    private FleetFault fault(IOException failed) {
+        for (Throwable each = failed; each != null; each = each.getCause()) {
+            if (each instanceof BindException) {
+                return new SettingsFault(FaultKind.SETTINGS_INVALID, "another process listens on " + settings.own().address(), failed);
+            }
+        }
+        FleetFault carried = CarriedFault.behind(failed);
+        boolean full = DiskHealth.kind((Throwable) failed) == FaultKind.DISK_FULL;
+        return carried != null ? carried
+            : new DiskFault(full ? FaultKind.DISK_FULL : FaultKind.DATA_CORRUPT, "folder " + folder.path() + ": " + failed, failed);
+    }
+
+    private void look() {
+        Member now = member;
+        if (now != null && now.over()) {
+            guard.failed(new DiskFault(FaultKind.DISK_BROKEN, "the log ended by itself"));
+        } else {
+            guard.look();
+        }
+    }
+
+    /** On the disk's thread: leaves the group, or comes back to it. */
+    private void disk(FaultKind trouble) {
+        if (member == null && trouble == null) {
+            say.accept("disk: well");
+            try {
+                begin();
+            } catch (FleetFault e) {
+                retreat();
+                if (e.kind() == FaultKind.DISK_FULL) {
+                    disk.execute(() -> guard.failed(e));
+                } else {
+                    ended.complete(e);
+                }
+            }
+        } else if (trouble != null) {
+            say.accept("disk: " + DiskHealth.word(trouble));
+            retreat();
+        }
+    }
+
+    private void retreat() {
+        Member now = member;
+        if (now != null) {
+            now.passOn();
+            events.execute(() -> lead(false));
+            now.close();
+            member = null;
         }
     }
 
@@ -73,6 +148,23 @@
         }
     }
 
+    /** Tells the group which feature level this program knows, once it can be told. */
+    private void announce() {
+        try (RatisStore store = RatisStore.connect(settings.region(), settings.replicas(), ANNOUNCE_WITHIN)) {
+            while (!ended.isDone()) {
+                try {
+                    StoreMessages.version(store.apply(StoreMessages.announce(settings.id(), StoreMachine.KNOWN_LEVEL)));
+                    return;
+                } catch (StoreFault e) {
+                    if (e.kind() != FaultKind.NO_MAJORITY && e.kind() != FaultKind.NOT_REACHED) {
+                        Logger.warn("feature level not told: {}", e.getMessage());
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
     /** Whether it leads and has all that was acknowledged before. */
     public boolean leads() {
         return leads;
@@ -94,8 +186,11 @@
         @Override
         public void leads() {
             events.execute(() -> {
-                say.accept("leads term " + member.term());
-                lead(true);
+                Member now = member;
+                if (now != null) {
+                    say.accept("leads term " + now.term());
+                    lead(true);
+                }
             });
         }
 
@@ -120,6 +215,7 @@
         @Override
         public void logFailed(Throwable cause) {
             Logger.error("log: {}", String.valueOf(cause));
+            disk.execute(() -> guard.failed(cause));
         }
 
         @Override
@@ -137,6 +233,8 @@
 
     @Override
     public void close() {
+        ended.complete(null);
+        disk.shutdownNow();
         events.shutdownNow();
         Member now = member;
         if (now != null) {
--- a/src/main/java/olivechute/store/raft/ReplicaSettings.java
+++ b/src/main/java/olivechute/store/raft/ReplicaSettings.java
@@ -21,9 +21,10 @@
  * @param region parts groups of replicas with the same ids; clients must name the same one
  * @param quotaBytes most that the folder may hold, 0 for no bound of ours
  * @param snapshotEvery log entries after which a snapshot is taken
+ * @param snapshotBytes bytes of log entries after which a snapshot is taken
  */
 public record ReplicaSettings(String region, String id, Path folder, List<ReplicaAddress> replicas, long quotaBytes, Duration electionLeast,
-    Duration electionMost, int snapshotEvery, int segmentBytes, int keys, long bytes, int valueBytes, int leases, int watches) {
+    Duration electionMost, int snapshotEvery, long snapshotBytes, int segmentBytes, int keys, long bytes, int valueBytes, int leases, int watches) {
     private static final int MIB = 1024 * 1024;
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9_.-]{0,62}");
 
@@ -50,11 +51,12 @@
         election.close();
         Hocon log = root.node("log");
         int snapshotEvery = log.integer("snapshot_every", 20_000, 100, 10_000_000);
+        long snapshotBytes = (long) log.integer("snapshot_mb", 16, 1, 1024) * MIB;
         int segment = log.integer("segment_mb", 2, 1, 16) * MIB;
         log.close();
         Hocon bounds = root.node("bounds");
         ReplicaSettings settings = new ReplicaSettings(root.has("region") ? name(root, "region") : "", name(root, "id"), Path.of(root.needed("folder")), replicas,
-            (long) root.integer("quota_mb", 0, 0, 1 << 20) * MIB, least, most, snapshotEvery, segment,
+            (long) root.integer("quota_mb", 0, 0, 1 << 20) * MIB, least, most, snapshotEvery, snapshotBytes, segment,
             bounds.integer("keys", 20_000, 1, 1_000_000), (long) bounds.integer("total_mb", 16, 1, 1024) * MIB,
             bounds.integer("value_kb", 512, 1, 2048) * 1024, bounds.integer("leases", 1_000, 1, 100_000),
             bounds.integer("watches", 500, 1, 10_000));
@@ -63,6 +65,9 @@
         if (faults.isEmpty() && replicas.stream().noneMatch(r -> r.id().equals(settings.id()))) {
             root.wrong("id", "must be one of the replicas");
         }
+        if (settings.quotaBytes() > 0 && settings.quotaBytes() < settings.leastQuota()) {
+            root.wrong("quota_mb", "must be at least " + settings.leastQuota() / MIB + " for these bounds, or 0 for none");
+        }
         if (!faults.isEmpty()) {
             throw new SettingsFault(FaultKind.SETTINGS_INVALID, String.join("; ", faults));
         }
@@ -95,6 +100,11 @@
         return name;
     }
 
+    /** Bytes that the folder may come to by itself: the reserve, three snapshots, and the log that a snapshot has not yet ended twice. */
+    long leastQuota() {
+        return DiskProbe.RESERVE + 3 * bytes + 2 * (snapshotBytes + segmentBytes);
+    }
+
     /** Where this replica listens. */
     public ReplicaAddress own() {
         return replicas.stream().filter(r -> r.id().equals(id)).findFirst().orElseThrow();
--- a/src/main/java/olivechute/store/raft/Snapshots.java
+++ b/src/main/java/olivechute/store/raft/Snapshots.java
@@ -32,7 +32,7 @@
 import org.tinylog.Logger;
 
 /**
- * Snapshots of a state that never changes, so that writing one stops nobody: after so many log entries a thread of its own writes the
+ * Snapshots of a state that never changes, so that writing one stops nobody: after so many log entries or bytes a thread of its own writes the
  * state to a temporary file and settles it on the disk; then the consensus is asked to take a snapshot, which finds it ready and only
  * renames it.
  */
@@ -44,17 +44,20 @@
 
     private final Path temporary;
     private final long every;
+    private final long bytes;
     private final Supplier<CompletableFuture<?>> ready;
     private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
     private final ExecutorService writer = Executors.newSingleThreadExecutor(Snapshots::thread);
     private final AtomicBoolean writing = new AtomicBoolean();
+    private long since;                 // bytes of commands applied after the last snapshot was begun
     private volatile Ready written;
     private volatile long last = RaftLog.INVALID_LOG_INDEX;
 
-    /** {@code ready}: asks the consensus to take what is written. */
-    Snapshots(Path temporary, long every, Supplier<CompletableFuture<?>> ready) {
+    /** {@code every}, {@code bytes}: log entries and bytes of them after which one is due; {@code ready}: asks the consensus to take what is written. */
+    Snapshots(Path temporary, long every, long bytes, Supplier<CompletableFuture<?>> ready) {
         this.temporary = temporary;
         this.every = every;
+        this.bytes = bytes;
         this.ready = ready;
     }
 
@@ -93,10 +96,12 @@
     }
 
     /** Begins a snapshot where one is due. */
-    void onApplied(StoreState state, TermIndex upTo) {
-        if (upTo.getIndex() - last < every || !writing.compareAndSet(false, true)) {
+    void onApplied(StoreState state, TermIndex upTo, long length) {
+        since += length;
+        if (upTo.getIndex() - last < every && since < bytes || !writing.compareAndSet(false, true)) {
             return;
         }
+        since = 0;
         try {
             writer.execute(() -> write(state, upTo));
         } catch (RejectedExecutionException e) {
