--- a/src/main/java/olivechute/StoreCommand.java
+++ b/src/main/java/olivechute/StoreCommand.java
@@ -28,7 +28,7 @@
     private Path settings;
 
     @Override
-    public Integer call() throws InterruptedException {
+    public Integer call() {
         try {
             ReplicaSettings own = ReplicaSettings.load(settings);
             LeadSettings rollout = LeadSettings.load(settings, Delay.BOUNDS.stream().mapToLong(Long::longValue).toArray());
@@ -38,12 +38,13 @@
             // The driver is a client like any other: that the lead is its own process saves it nothing but a hop.
             new Driver(RatisStore.connect(own.region(), own.replicas(), PATIENCE), replica::leads, System::currentTimeMillis, rollout,
                 own.id()).start();
-            FleetFault fault = replica.ended().get();
+            FleetFault fault = replica.ended().join();
+            if (fault == null) {
+                return 0;
+            }
             say(fault.getMessage());
         } catch (FleetFault e) {
             say(e.getMessage());
-        } catch (java.util.concurrent.ExecutionException e) {
-            say(e.getMessage());
         }
         return 1;
     }
