--- a/src/main/java/olivechute/StoreCommand.java
+++ b/src/main/java/olivechute/StoreCommand.java
@@ -31,7 +31,7 @@
     public Integer call() {
         try {
             ReplicaSettings own = ReplicaSettings.load(settings);
-            LeadSettings rollout = LeadSettings.load(settings, Delay.BOUNDS.stream().mapToLong(Long::longValue).toArray());
+            LeadSettings rollout = LeadSettings.load(settings, Delay.BOUNDS);
             Replica replica = new Replica(own, this::say);
             replica.start();
             Runtime.getRuntime().addShutdownHook(new Thread(replica::close, "close"));
--- a/src/main/java/olivechute/lead/LeadSettings.java
+++ b/src/main/java/olivechute/lead/LeadSettings.java
@@ -21,7 +21,7 @@
      * named; {@code late}, the part of it that a job of a named class served late still has; {@code tick}. SETTINGS_INVALID with all that
      * is wrong. {@code delayBoundsUs}: upper ends of the buckets in which nodes count their delay, in us.
      */
-    public static LeadSettings load(Path file, long[] delayBoundsUs) throws SettingsFault {
+    public static LeadSettings load(Path file, List<Long> delayBoundsUs) throws SettingsFault {
         List<String> faults = new ArrayList<>();
         LeadSettings settings = read(Hocon.parse(ChangeSettings.text(file), faults).node("rollout"), delayBoundsUs);
         if (!faults.isEmpty()) {
@@ -30,7 +30,7 @@
         return settings;
     }
 
-    private static LeadSettings read(Hocon rollout, long[] delayBoundsUs) {
+    private static LeadSettings read(Hocon rollout, List<Long> delayBoundsUs) {
         Hocon each = rollout.node("worth");
         double late = rollout.number("late", 0.2, 0, 1);
         Map<String, Double> worth = new HashMap<>();
@@ -41,7 +41,7 @@
         }
         Duration tick = rollout.duration("tick", Duration.ofSeconds(1), Duration.ofMillis(50), Driver.TTL.dividedBy(2));
         rollout.close();
-        return new LeadSettings(new Worths(worth, latePart, delayBoundsUs), tick);
+        return new LeadSettings(new Worths(worth, latePart, delayBoundsUs.stream().mapToLong(Long::longValue).toArray()), tick);
     }
 
     TickPlan.Steps steps() {
--- a/src/test/java/olivechute/lead/RolloutDrivenTest.java
+++ b/src/test/java/olivechute/lead/RolloutDrivenTest.java
@@ -20,7 +20,7 @@
     private static final int MOST_ROUNDS = 2000;
 
     private static TickPlan.Steps steps() {
-        return new LeadSettings(Worths.alike(new long[] {100, 1000, 10_000}), Duration.ofSeconds(1)).steps();
+        return new LeadSettings(Worths.alike(java.util.List.of(100L, 1000L, 10_000L)), Duration.ofSeconds(1)).steps();
     }
 
     private static LeadRig begun() throws FleetFault {
