--- a/src/test/java/olivechute/lead/ChangeCommandTest.java
+++ b/src/test/java/olivechute/lead/ChangeCommandTest.java
@@ -133,15 +133,15 @@
     void theDriversSettingsAreReadOutOfTheReplicas() throws IOException, SettingsFault {
         Path file = Files.writeString(folder.resolve("store.conf"), "id = a, rollout { worth { verify = 2, sign = 0.5 }, late = 0.1, "
             + "tick = 500ms }");
-        LeadSettings settings = LeadSettings.load(file, new long[] {7});
+        LeadSettings settings = LeadSettings.load(file, List.of(7L));
         assertEquals(Duration.ofMillis(500), settings.tick());
         assertEquals(2.0, settings.worths().worth().get("verify"));
         assertEquals(0.1, settings.worths().latePart().get("sign"));
         assertArrayEquals(new long[] {7}, settings.worths().delayBoundsUs());
         Files.writeString(file, "id = a");
-        assertEquals(Duration.ofSeconds(1), LeadSettings.load(file, new long[] {7}).tick());
+        assertEquals(Duration.ofSeconds(1), LeadSettings.load(file, List.of(7L)).tick());
         Files.writeString(file, "rollout { worth { verify = -2 }, lat = 1 }");
-        String text = assertThrows(SettingsFault.class, () -> LeadSettings.load(file, new long[0])).getMessage();
+        String text = assertThrows(SettingsFault.class, () -> LeadSettings.load(file, List.of())).getMessage();
         assertTrue(text.contains("rollout.worth.verify") && text.contains("did you mean late?"), text);
     }
 }
