--- a/src/test/java/olivechute/discovery/ListWatchTest.java
+++ b/src/test/java/olivechute/discovery/ListWatchTest.java
@@ -107,26 +107,27 @@
             .getBytes(StandardCharsets.UTF_8), true);
     }
 
-    /** A clock whose calls are over soon. */
-    private static final WatchClock SHORT = new WatchClock(0, () -> 0) {
-        @Override
-        public Call watch() {
-            return new Call(300, 500);
-        }
+    private static final int SOON = 400;
+    private static final int NEVER = 60_000;
 
-        @Override
-        public Call whole() {
-            return new Call(0, 500);
-        }
+    /** Calls are silent after so many milliseconds: the first, or those that wait for nothing. */
+    private static WatchClock clock(int first, int atOnce) {
+        return new WatchClock(0, () -> 0) {
+            @Override
+            public Call watch() {
+                return new Call(300, first);
+            }
 
-        @Override
-        public Call again() {
-            return new Call(1, 500);
-        }
-    };
+            @Override
+            public Call whole() {
+                return new Call(0, atOnce);
+            }
 
-    private void watch(Registry registry, HostList known) {
-        watch(registry, known, SHORT);
+            @Override
+            public Call again() {
+                return new Call(1, atOnce);
+            }
+        };
     }
 
     private void watch(Registry registry, HostList known, WatchClock clock) {
@@ -171,7 +172,7 @@
     @Test(dataProvider = "beginnings")
     public void aSilentWatchIsAskedAgainOnANewConnection(int bytes) throws Exception {
         Registry registry = new Registry();
-        watch(registry, known());
+        watch(registry, known(), clock(SOON, NEVER));
         Call first = registry.next();
         assertEquals(first.target(), "/registry/instances?since=7&timeout_ms=300");
         first.write(Arrays.copyOf(NEWS, bytes));
@@ -198,7 +199,7 @@
     @Test
     public void anAnswerThatComesInDropsEndsNoLaterThanASilentOne() throws Exception {
         Registry registry = new Registry();
-        watch(registry, known());
+        watch(registry, known(), clock(SOON, NEVER));
         Call first = registry.next();
         Threads.start("drops", () -> {
             try {
@@ -220,7 +221,7 @@
     @Test
     public void aSilentPollIsAskedAgainForTheWholeList() throws Exception {
         Registry registry = new Registry();
-        watch(registry, new HostList(0, true, List.of()));
+        watch(registry, new HostList(0, true, List.of()), clock(SOON, SOON));
         assertEquals(registry.next().target(), "/registry/instances");
         Call second = registry.next();
         assertEquals(second.target(), "/registry/instances");
@@ -230,7 +231,7 @@
     @Test
     public void theSecondCallIsAnsweredAlsoWhereThereIsNothingNew() throws Exception {
         Registry registry = new Registry();
-        watch(registry, known());
+        watch(registry, known(), clock(SOON, NEVER));
         registry.next();
         Call second = registry.next();
         assertTrue(second.target().endsWith("timeout_ms=1"), second.target());
@@ -244,7 +245,7 @@
     @Test
     public void aSecondSilenceIsAFailureAndTheModuleSaysWhenToGoOn() throws Exception {
         Registry registry = new Registry();
-        watch(registry, known());
+        watch(registry, known(), clock(SOON, SOON));
         registry.next();
         registry.next();
         assertTrue(event() instanceof Event.ListFailed);
@@ -259,7 +260,7 @@
     @Test
     public void aRefusalIsAFailureAtOnce() throws Exception {
         Registry registry = new Registry();
-        watch(registry, known());
+        watch(registry, known(), clock(NEVER, NEVER));
         registry.next().write(MessageWriter.response(503, new byte[0], true));
         assertTrue(event() instanceof Event.ListFailed);
         assertTrue(registry.calls.isEmpty());
@@ -275,7 +276,7 @@
     public void aMoveInTheSilenceAsksTheNewAddressForAllAndNotTheOldOne(int calls) throws Exception {
         Registry old = new Registry();
         Registry other = new Registry();
-        watch(old, known());
+        watch(old, known(), clock(calls == 1 ? NEVER : SOON, NEVER));
         for (int i = 0; i < calls; i++) {
             old.next();
         }
