Let a broken watch book fail its tests at once, and see a waiting watch outlast the history

The tests ask whether an answer is there before they take it, so a break fails instead of hanging; a time-out was ruled out, as a wait on a future does not end by one.

--- a/src/test/java/olivechute/store/SnapshotCodecTest.java
+++ b/src/test/java/olivechute/store/SnapshotCodecTest.java
@@ -22,10 +22,13 @@
         StoreMachine machine = new StoreMachine(CommandMaker.TIGHT, 2);
         StoreState state = StoreState.EMPTY;
         CommandMaker maker = new CommandMaker(7);
-        for (int i = 1; i <= 120 || state.entries().size() < 4 || state.owned().isEmpty(); i++) {
+        for (int i = 1; i <= 1000; i++) {
             state = machine.apply(state, maker.next(state), i).state();
+            if (i > 100 && state.entries().size() >= 4 && !state.owned().isEmpty() && state.announced().size() == 2) {
+                return state;
+            }
         }
-        return state;
+        throw new AssertionError("no state with something of everything");
     }
 
     private static DiskFault fault(byte[] file) {
--- a/src/test/java/olivechute/store/WatchPropertyTest.java
+++ b/src/test/java/olivechute/store/WatchPropertyTest.java
@@ -127,10 +127,10 @@
                     waiting = book.register("a/", since, i + 20);
                 }
                 if (waiting != null && waiting.isDone()) {
-                    take(waiting.join(), seen);
+                    take(told(waiting), seen);
                     assertEquals(list(state), seen, where);
                     woken++;
-                    since = waiting.join().getVersion();
+                    since = told(waiting).getVersion();
                     waiting = null;
                 }
             }
@@ -144,19 +144,46 @@
         WatchBook book = new WatchBook(CommandMaker.TIGHT, StoreState.EMPTY);
         CompletableFuture<Reply> first = book.register("a", 0, 100);
         CompletableFuture<Reply> second = book.register("b", 0, 200);
-        assertEquals("TOO_MANY", book.register("c", 0, 100).join().getRefusal().getKind());
+        assertEquals("TOO_MANY", told(book.register("c", 0, 100)).getRefusal().getKind());
         first.cancel(false);
         CompletableFuture<Reply> third = book.register("c", 0, 100);
         assertEquals(2, book.size());
         book.expire(99);
         assertTrue(!third.isDone() && !second.isDone());
         book.expire(100);
-        assertEquals(Reply.getDefaultInstance(), third.join());
+        assertEquals(Reply.getDefaultInstance(), told(third));
         assertTrue(!second.isDone());
-        Draft draft = new Draft(StoreState.EMPTY, CommandMaker.TIGHT);
-        draft.put("b", ByteString.EMPTY, 0);
-        book.onChange(draft.done());
-        assertEquals("b", second.join().getEntries(0).getKey());
+        book.onChange(put(StoreState.EMPTY, "b"));
+        assertEquals("b", told(second).getEntries(0).getKey());
         assertEquals(0, book.size());
     }
+
+    /** While it waits it keeps up, so it is not woken by what others write, however much that is. */
+    @Test
+    void aWatchThatWaitsOutlastsTheHistory() {
+        WatchBook book = new WatchBook(CommandMaker.TIGHT, StoreState.EMPTY);
+        CompletableFuture<Reply> waiting = book.register("a", 0, 100);
+        StoreState state = StoreState.EMPTY;
+        for (int i = 0; i < 3 * CommandMaker.TIGHT.history(); i++) {
+            state = put(state, "b");
+            book.onChange(state);
+        }
+        assertTrue(!waiting.isDone());
+        state = put(state, "a");
+        book.onChange(state);
+        assertEquals(1, told(waiting).getEntriesCount());
+        assertTrue(!told(waiting).getWhole());
+        assertEquals(state.version(), told(waiting).getVersion());
+    }
+
+    private static Reply told(CompletableFuture<Reply> answer) {
+        assertTrue(answer.isDone(), "not answered yet");
+        return answer.join();
+    }
+
+    private static StoreState put(StoreState state, String key) {
+        Draft draft = new Draft(state, CommandMaker.TIGHT);
+        draft.put(key, ByteString.EMPTY, 0);
+        return draft.done();
+    }
 }
