Run the supervise command over the replicated store, and test its driver with stand-in nodes

The driver needs proof over real processes: a stand-in program answers, breaks, refuses or stays as its settings say.

--- a/src/main/java/olivechute/supervise/LeaseKeeper.java
+++ b/src/main/java/olivechute/supervise/LeaseKeeper.java
@@ -136,7 +136,7 @@
         changed = true;             // what was not written is written as soon as there is a lease
         if (fault.kind() != told) {
             told = fault.kind();
-            Logger.warn("supervisor {}: {}", settings.machine(), fault.getMessage());
+            tell.accept("supervisor " + settings.machine() + ": " + fault.getMessage());
         }
     }
 
--- a/src/main/java/olivechute/supervise/Overlay.java
+++ b/src/main/java/olivechute/supervise/Overlay.java
@@ -15,8 +15,9 @@
 
 /** A version's settings laid over a node's own file. */
 final class Overlay {
+    private static final String CEILINGS = "settings.ceilings";
     /** What a node takes over when it reads its file again; see {@link olivechute.config.NodeConfig#fixedSince}. */
-    private static final List<String> FREE = List.of("discovery", "settings.ceilings.open_cap", "settings.ceilings.dial_timeout");
+    private static final List<String> FREE = List.of("discovery", CEILINGS + ".open_cap", CEILINGS + ".dial_timeout");
 
     private Overlay() { }
 
@@ -40,7 +41,8 @@
         for (String path : FREE) {
             rest = rest.withoutPath(path);
         }
-        return rest;
+        // To a node an object without keys is as good as none.
+        return rest.hasPath(CEILINGS) && rest.getConfig(CEILINGS).isEmpty() ? rest.withoutPath(CEILINGS) : rest;
     }
 
     private static Config parse(String text) {
--- a/src/main/java/olivechute/supervise/SuperviseCommand.java
+++ b/src/main/java/olivechute/supervise/SuperviseCommand.java
@@ -1,19 +1,50 @@
 package olivechute.supervise;
 
+import java.io.File;
+import java.net.URISyntaxException;
 import java.nio.file.Path;
+import java.util.Random;
 import java.util.concurrent.Callable;
+import olivechute.fault.FleetFault;
+import olivechute.store.raft.RatisStore;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
 
 /** Runs the nodes of one machine as the store orders. */
 @Command(name = "supervise", mixinStandardHelpOptions = true, description = "Runs the nodes of one machine as the store orders.",
-    footer = "Exit status: 0 done, 1 settings that cannot be used or trouble that is told, 2 wrong call.")
+    footer = "Exit status: 1 settings that cannot be used or trouble that is told, 2 wrong call, 143 after SIGTERM, once its nodes have ended.")
 public final class SuperviseCommand implements Callable<Integer> {
-    @Option(names = "--settings", required = true, paramLabel = "FILE", description = "Settings in HOCON.")
-    private Path settings;
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--settings", required = true, paramLabel = "FILE", description = "Settings in HOCON; deploy/supervise.conf has every key.")
+    private Path file;
 
     @Override
-    public Integer call() {
-        return 2;
+    public Integer call() throws InterruptedException, URISyntaxException {
+        try {
+            SuperviseSettings settings = SuperviseSettings.load(file);
+            String own = settings.program() != null ? settings.program()
+                : new File(SuperviseCommand.class.getProtectionDomain().getCodeSource().getLocation().toURI()).getPath();
+            Supervisor supervisor = new Supervisor(settings, RatisStore.connect(settings.replicas(), settings.storeTimeout()), own,
+                new Random(), System::currentTimeMillis, System.out::println);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(supervisor), "end"));
+            supervisor.start();
+        } catch (FleetFault e) {
+            spec.commandLine().getErr().println(e.getMessage());
+            return 1;
+        }
+        Thread.currentThread().join();          // its threads go on until a signal
+        return 0;
+    }
+
+    private static void end(Supervisor supervisor) {
+        try {
+            supervisor.close();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- /dev/null
+++ b/src/test/java/olivechute/supervise/FiguresIntakeTest.java
@@ -0,0 +1,126 @@
+package olivechute.supervise;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import olivechute.fleet.wire.NodeFigures;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What nodes tell over real sockets, and what becomes of senders that are odd. */
+@Timeout(60)
+class FiguresIntakeTest {
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private final FiguresBook book = new FiguresBook(Set.of("n", "o"));
+    private FiguresIntake intake;
+
+    @BeforeEach
+    void open() throws Exception {
+        intake = new FiguresIntake(new InetSocketAddress("127.0.0.1", 0), book, 2, 500, told::add);
+    }
+
+    @AfterEach
+    void close() {
+        intake.close();
+    }
+
+    private Socket dial() throws IOException {
+        Socket socket = new Socket("127.0.0.1", Integer.parseInt(intake.address().split(":")[1]));
+        socket.setSoTimeout(20_000);
+        return socket;
+    }
+
+    private static byte[] frame(String node, long incarnation, long sequence) {
+        try {
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            NodeFigures.newBuilder().setNode(node).setVersion("v1").setIncarnation(incarnation).setSequence(sequence).build()
+                .writeDelimitedTo(out);
+            return out.toByteArray();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** The other end closes: an end or a reset. */
+    private static void dropped(Socket socket) {
+        try {
+            assertEquals(-1, socket.getInputStream().read());
+        } catch (java.net.SocketTimeoutException e) {
+            throw new AssertionError("not dropped", e);
+        } catch (IOException e) {
+            assertTrue(socket.isConnected());
+        }
+    }
+
+    @Test
+    void theNewestOfEachNodeIsKept() throws Exception {
+        try (Socket one = dial(); Socket other = dial()) {
+            byte[] first = frame("n", 5, 1);
+            one.getOutputStream().write(first, 0, 3);
+            one.getOutputStream().flush();
+            one.getOutputStream().write(first, 3, first.length - 3);
+            assertEquals("figures from n", told.poll(20, TimeUnit.SECONDS));
+            other.getOutputStream().write(frame("n", 6, 1));
+            assertEquals("figures from n", told.poll(20, TimeUnit.SECONDS));
+            one.getOutputStream().write(frame("n", 5, 2));
+            one.getOutputStream().write(frame("o", 1, 1));
+            assertEquals("figures from o", told.poll(20, TimeUnit.SECONDS));
+        }
+        List<NodeFigures> fresh = book.fresh();
+        assertEquals(2, fresh.size());
+        assertTrue(fresh.stream().anyMatch(f -> f.getNode().equals("n") && f.getIncarnation() == 6));
+        assertEquals(List.of(), book.fresh());
+    }
+
+    @Test
+    void anotherVersionTakenOverWhileRunningIsTheNodesVersion() {
+        book.take(NodeFigures.newBuilder().setNode("n").setVersion("v1").setIncarnation(1).setSequence(1).build());
+        book.runs("n", "v1", "v2");
+        assertEquals("v2", book.fresh().get(0).getVersion());
+        book.started("n");
+        book.take(NodeFigures.newBuilder().setNode("n").setVersion("v1").setIncarnation(2).setSequence(1).build());
+        assertEquals("v1", book.fresh().get(0).getVersion());
+        assertEquals(FiguresBook.Taken.OLD,
+            book.take(NodeFigures.newBuilder().setNode("n").setVersion("v1").setIncarnation(2).setSequence(1).build()));
+    }
+
+    @Test
+    void oddAndSlowSendersAreDroppedAndTheNextIsTaken() throws Exception {
+        for (byte[] odd : List.of(frame("stranger", 1, 1), new byte[] {2, 0x7f, 0x7f}, new byte[] {-1, -1, -1, -1}, new byte[] {-127, -128, 4},
+            "GET / HTTP/1.1\r\n\r\n".getBytes(), new byte[] {50, 1})) {
+            try (Socket socket = dial()) {
+                socket.getOutputStream().write(odd);
+                dropped(socket);
+            }
+        }
+        try (Socket socket = dial()) {
+            socket.getOutputStream().write(frame("n", 1, 1));
+            assertEquals("figures from n", told.poll(20, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void connectionsAreBounded() throws Exception {
+        try (Socket one = dial(); Socket two = dial()) {
+            one.getOutputStream().write(frame("n", 1, 1));
+            two.getOutputStream().write(frame("o", 1, 1));
+            assertTrue(told.poll(20, TimeUnit.SECONDS) != null && told.poll(20, TimeUnit.SECONDS) != null);
+            try (Socket three = dial()) {
+                three.getOutputStream().write(frame("n", 2, 1));
+                dropped(three);
+            }
+        }
+        assertEquals(1, book.fresh().stream().filter(f -> f.getNode().equals("n")).findFirst().orElseThrow().getIncarnation());
+    }
+}
--- a/src/test/java/olivechute/supervise/NodeMachineTest.java
+++ b/src/test/java/olivechute/supervise/NodeMachineTest.java
@@ -199,6 +199,7 @@
         on(new Ready(1));
         assertEquals("reload 1 b", on(new Ordered(new Launch("b", 2, "j", "", "{\"discovery\":\"127.0.0.1:2\",\"name\":\"n\"}"), "")));
         stands(NodePhase.READY, "a", 1);
+        assertEquals("", on(new Tick()));
         assertEquals("keep 1 b", on(new Reloaded(1, "")));
         stands(NodePhase.READY, "b", 2);
         assertEquals("reload 1 c", on(new Ordered(new Launch("c", 3, "j", "", "{\"discovery\":\"no\",\"name\":\"n\"}"), "")));
--- /dev/null
+++ b/src/test/java/olivechute/supervise/StandInNode.java
@@ -0,0 +1,60 @@
+package olivechute.supervise;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import sun.misc.Signal;
+
+/**
+ * A stand-in for a node, run as a process of its own: answers {@code /health/ready}, ends on SIGTERM. Words in its configuration have it
+ * refuse ({@code "refuse"}), never be ready ({@code "never"}), break at once ({@code "break"}), stay on SIGTERM ({@code "stay"}), and break
+ * once a request asks it to ({@code GET /break}).
+ */
+public final class StandInNode {
+    private StandInNode() { }
+
+    public static void main(String[] args) throws IOException {
+        String config = Files.readString(Path.of(System.getenv("LB_CONFIG")));
+        if (config.contains("\"refuse\"")) {
+            System.err.println("settings.profiles: missing, must be a list");
+            System.exit(1);
+        }
+        if (config.contains("\"break\"")) {
+            System.err.println("cannot go on");
+            Runtime.getRuntime().halt(3);
+        }
+        if (config.contains("\"stay\"")) {
+            Signal.handle(new Signal("TERM"), signal -> System.out.println("stays"));
+        }
+        Signal.handle(new Signal("HUP"), signal -> reload());
+        String[] listen = System.getenv("LB_LISTEN").split(":");
+        try (ServerSocket listener = new ServerSocket(Integer.parseInt(listen[1]), 50, InetAddress.getByName(listen[0]))) {
+            System.out.println(System.getenv("LB_NAME") + " listens");
+            while (true) {
+                try (Socket socket = listener.accept()) {
+                    String asked = new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
+                    if (asked.startsWith("GET /break")) {
+                        Runtime.getRuntime().halt(3);
+                    }
+                    socket.getOutputStream().write((config.contains("\"never\"") ? "HTTP/1.1 503 No\r\n\r\n"
+                        : "HTTP/1.1 200 OK\r\n\r\n" + System.getenv("OLIVECHUTE_VERSION") + " " + ProcessHandle.current().pid()).getBytes(
+                            StandardCharsets.US_ASCII));
+                }
+            }
+        }
+    }
+
+    private static void reload() {
+        try {
+            String config = Files.readString(Path.of(System.getenv("LB_CONFIG")));
+            System.out.println(config.contains("\"discovery\":\"bad\"") ? "ERROR configuration not changed: discovery: must be ADDRESS:PORT"
+                : "INFO configuration read again");
+        } catch (IOException e) {
+            System.out.println("configuration not changed: " + e);
+        }
+    }
+}
