--- a/src/main/java/olivechute/store/raft/DiskHealth.java
+++ b/src/main/java/olivechute/store/raft/DiskHealth.java
@@ -1,6 +1,5 @@
 package olivechute.store.raft;
 
-import java.io.IOException;
 import olivechute.fault.FaultKind;
 
 /** Judges a replica's disk from what the probes find. No I/O. */
@@ -60,21 +59,14 @@
     }
 
     /** What a failed read or write means: Linux says by its text alone why. */
-    static FaultKind kind(IOException failed) {
-        String text = String.valueOf(failed.getMessage());
-        boolean full = text.contains("No space left") || text.contains("Disk quota exceeded") || text.contains("File too large");
-        return full ? FaultKind.DISK_FULL : FaultKind.DISK_BROKEN;
-    }
-
-    /** The same for one that lies somewhere behind another. */
     static FaultKind kind(Throwable failed) {
-        FaultKind kind = FaultKind.DISK_BROKEN;
         for (Throwable each = failed; each != null; each = each.getCause()) {
-            if (each instanceof IOException io && kind(io) == FaultKind.DISK_FULL) {
-                kind = FaultKind.DISK_FULL;
+            String text = String.valueOf(each.getMessage());
+            if (text.contains("No space left") || text.contains("Disk quota exceeded") || text.contains("File too large")) {
+                return FaultKind.DISK_FULL;
             }
         }
-        return kind;
+        return FaultKind.DISK_BROKEN;
     }
 
     /** As the log line names it. */
--- a/src/main/java/olivechute/store/raft/Member.java
+++ b/src/main/java/olivechute/store/raft/Member.java
@@ -1,6 +1,7 @@
 package olivechute.store.raft;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -39,6 +40,8 @@
     private final Snapshots snapshots;
     private final RatisMachine machine;
     private final RaftServer server;
+    private final Path vote;
+    private volatile long term;
     private CompletableFuture<RaftClientReply> asked = CompletableFuture.completedFuture(null);
 
     Member(ReplicaSettings settings, Folder folder, RatisMachine.Listener listener, Supplier<String> disk) throws IOException {
@@ -46,6 +49,7 @@
         this.disk = disk;
         group = Wiring.group(settings.region(), settings.replicas());
         id = RaftPeerId.valueOf(settings.id());
+        vote = folder.log().resolve(group.getGroupId().getUuid().toString()).resolve("current").resolve("raft-meta");
         snapshots = new Snapshots(folder.path().resolve("snapshot.tmp"), settings.snapshotEvery(), settings.snapshotBytes(),
             this::snapshot);
         machine = new RatisMachine(new StoreMachine(Replica.bounds(settings)), snapshots, System::currentTimeMillis, this::status, listener);
@@ -76,12 +80,14 @@
         }
     }
 
+    /** The term it is in, after its end the one that it was in. */
     long term() {
         try {
-            return server.getDivision(group.getGroupId()).getInfo().getCurrentTerm();
+            term = server.getDivision(group.getGroupId()).getInfo().getCurrentTerm();
         } catch (IOException e) {
-            return 0;
+            Logger.debug("term of an ended member");
         }
+        return term;
     }
 
     private boolean leadsNow() {
@@ -137,11 +143,18 @@
         }
     }
 
+    /** Mends what a disk without room left of its vote; once it is closed, and before the next one begins. */
+    void mendVote() throws IOException {
+        VoteFile.mend(vote, term, settings.id());
+    }
+
     @Override
     public void close() {
         machine.endWatches();
         try {
+            RaftServer.Division division = server.getDivision(group.getGroupId());
             server.close();
+            term = division.getInfo().getCurrentTerm();
         } catch (IOException e) {
             Logger.warn("consensus not closed: {}", e.toString());
         }
--- a/src/main/java/olivechute/store/raft/Replica.java
+++ b/src/main/java/olivechute/store/raft/Replica.java
@@ -38,6 +38,7 @@
     private Folder folder;
     private DiskGuard guard;
     private volatile Member member;
+    private Member before;              // the one that trouble at the disk ended
     private volatile boolean leads;
 
     /** {@code say}: takes each line about what happens. */
@@ -80,24 +81,27 @@
 
     private void begin() throws FleetFault {
         try {
+            if (before != null) {
+                before.mendVote();
+            }
             Member next = new Member(settings, folder, new Events(), guard::word);
             member = next;
             next.start();
             say.accept("serves on " + settings.own().address());
-        } catch (IOException e) {
-            throw fault(e);
+        } catch (IOException | RuntimeException e) {
+            throw fault(e);         // the library's checks of what it reads throw unchecked
         }
     }
 
     /** What keeps the consensus from a start; a failed read is mostly one of what was written. */
-    private FleetFault fault(IOException failed) {
+    private FleetFault fault(Exception failed) {
         for (Throwable each = failed; each != null; each = each.getCause()) {
             if (each instanceof BindException) {
                 return new SettingsFault(FaultKind.SETTINGS_INVALID, "another process listens on " + settings.own().address(), failed);
             }
         }
         FleetFault carried = CarriedFault.behind(failed);
-        boolean full = DiskHealth.kind((Throwable) failed) == FaultKind.DISK_FULL;
+        boolean full = DiskHealth.kind(failed) == FaultKind.DISK_FULL;
         return carried != null ? carried
             : new DiskFault(full ? FaultKind.DISK_FULL : FaultKind.DATA_CORRUPT, "folder " + folder.path() + ": " + failed, failed);
     }
@@ -137,6 +141,7 @@
             now.passOn();
             events.execute(() -> lead(false));
             now.close();
+            before = now;
             member = null;
         }
     }
--- /dev/null
+++ b/src/main/java/olivechute/store/raft/VoteFile.java
@@ -0,0 +1,41 @@
+package olivechute.store.raft;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import org.tinylog.Logger;
+
+/**
+ * The library's file of a replica's term and vote. Written to a disk without room, it is left cut short in place of the whole one. As long
+ * as the process lives, its term is known: nothing was voted in a higher one, and a vote for oneself in it gives none away.
+ */
+final class VoteFile {
+    private VoteFile() { }
+
+    /** Mends a file that was cut short; {@code term}: the highest that this replica was in. */
+    static void mend(Path file, long term, String id) throws IOException {
+        if (!Files.exists(file) || whole(Files.readString(file))) {
+            return;
+        }
+        Logger.warn("vote cut short on a full disk: mended at term {}", term);
+        Path next = file.resolveSibling("raft-meta.mended");
+        try (FileChannel channel = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
+            StandardOpenOption.WRITE)) {
+            ByteBuffer bytes = ByteBuffer.wrap(("term=" + term + "\nvotedFor=" + id + "\n").getBytes(StandardCharsets.UTF_8));
+            while (bytes.hasRemaining()) {
+                channel.write(bytes);
+            }
+            channel.force(true);
+        }
+        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    static boolean whole(String text) {
+        return text.matches("(?s)(.*\n)?term=[0-9]+\n(.*\n)?votedFor=[^\n]*\n.*|(?s)(.*\n)?votedFor=[^\n]*\n(.*\n)?term=[0-9]+\n.*");
+    }
+}
