Break lines of the lead's classes that were over 140 columns

Four lines were longer than the house's bound, which no build step looks at; they were found by a count over the package. Nothing else changes.

--- a/src/main/java/olivechute/lead/ChangeCommand.java
+++ b/src/main/java/olivechute/lead/ChangeCommand.java
@@ -30,7 +30,8 @@
 import picocli.CommandLine.Spec;
 
 /** Proposes, shows, pauses, resumes and stops a change of the fleet. */
-@Command(name = "change", mixinStandardHelpOptions = true, description = "Proposes, shows, pauses, resumes and stops a change of the fleet.",
+@Command(name = "change", mixinStandardHelpOptions = true,
+    description = "Proposes, shows, pauses, resumes and stops a change of the fleet.",
     footer = "Exit status: 0 done, 1 settings that cannot be used or trouble that is told, 2 wrong call.")
 public final class ChangeCommand implements Callable<Integer> {
     /** Reaches the store. */
--- a/src/main/java/olivechute/lead/ChangeSettings.java
+++ b/src/main/java/olivechute/lead/ChangeSettings.java
@@ -17,7 +17,8 @@
  * replicas' settings name; {@code timeout}: of one call of the store; {@code stages}, {@code mostAway} and {@code readyWithin} go into
  * each change that is proposed.
  */
-record ChangeSettings(String region, List<ReplicaAddress> replicas, Duration timeout, List<StageSpec> stages, int mostAway, Duration readyWithin) {
+record ChangeSettings(String region, List<ReplicaAddress> replicas, Duration timeout, List<StageSpec> stages, int mostAway,
+                      Duration readyWithin) {
     private static final Duration DAY = Duration.ofDays(1);
     private static final int MOST_NODES = 100_000;
 
--- a/src/main/java/olivechute/lead/Changes.java
+++ b/src/main/java/olivechute/lead/Changes.java
@@ -159,7 +159,8 @@
         tries("node " + node, () -> {
             FleetView view = view();
             if (view.nodes().stream().anyMatch(n -> n.node().equals(node) && n.reachable())) {
-                throw new ChangeFault(FaultKind.CHANGE_INVALID, "node " + node + " is in reach; take it from its supervisor's settings first");
+                throw new ChangeFault(FaultKind.CHANGE_INVALID, "node " + node + " is in reach;"
+                    + " take it from its supervisor's settings first");
             }
             if (view.version(Keys.ORDER + node) == 0) {
                 throw new ChangeFault(FaultKind.CHANGE_UNKNOWN, "there is no node " + node);
@@ -178,7 +179,8 @@
 
     private static void named(String what, String id) throws ChangeFault {
         if (!NAME.matcher(id).matches()) {
-            throw new ChangeFault(FaultKind.CHANGE_INVALID, "the " + what + " id '" + id + "' must be 1 to 64 letters, digits, '.', '_', '-'");
+            throw new ChangeFault(FaultKind.CHANGE_INVALID, "the " + what + " id '" + id
+                + "' must be 1 to 64 letters, digits, '.', '_', '-'");
         }
     }
 }
