--- a/src/main/java/olivechute/store/raft/ReplicaSettings.java
+++ b/src/main/java/olivechute/store/raft/ReplicaSettings.java
@@ -57,7 +57,8 @@
         log.close();
         Hocon bounds = root.node("bounds");
         ReplicaSettings settings = new ReplicaSettings(root.has("region") ? name(root, "region") : "", name(root, "id"),
-            Path.of(root.needed("folder")), replicas, (long) root.integer("quota_mb", 0, 0, 1 << 20) * MIB, least, most, snapshotEvery, snapshotBytes, segment,
+            Path.of(root.needed("folder")), replicas, (long) root.integer("quota_mb", 0, 0, 1 << 20) * MIB, least, most,
+            snapshotEvery, snapshotBytes, segment,
             bounds.integer("keys", 20_000, 1, 1_000_000), (long) bounds.integer("total_mb", 16, 1, 1024) * MIB,
             bounds.integer("value_kb", 512, 1, 2048) * 1024, bounds.integer("leases", 1_000, 1, 100_000),
             bounds.integer("watches", 500, 1, 10_000));
