Have the stand-in workers see attempts that were given up before they took them

Under a load average of 33 on 8 cores a node withdrew attempts that no worker had accepted in time, and the late stand-ins ran them beside their repeats: a closed connection before the 202, or a DELETE that overtakes its job, gives an attempt up, as the protocol has it. Found by the checker in RolloutIT and LeadLostIT (two runs of one key, begun 4 ms apart, of 9,818 jobs).

--- a/src/test/java/olivechute/rig/HttpPeer.java
+++ b/src/test/java/olivechute/rig/HttpPeer.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import olivechute.http.HttpException;
@@ -21,6 +22,11 @@
     /** The bytes to answer a request with. */
     interface Answering {
         byte[] answer(HttpRequest request) throws InterruptedException;
+
+        /** Whether a request whose connection its sender has ended already is left alone: it gave it up. */
+        default boolean asksWhetherGivenUp() {
+            return false;
+        }
     }
 
     HttpPeer(String name, Answering answering) {
@@ -52,6 +58,9 @@
                 for (int at = 0; at < n;) {
                     at += parser.feed(buffer, at, n - at);
                     if (parser.complete()) {
+                        if (answering.asksWhetherGivenUp() && at == n && ended(socket)) {
+                            return;
+                        }
                         socket.getOutputStream().write(answering.answer(parser.take()));
                     }
                 }
@@ -63,6 +72,18 @@
         }
     }
 
+    /** True if the other side has ended the connection; nothing else may come on it now. */
+    private static boolean ended(Socket socket) throws IOException {
+        socket.setSoTimeout(1);
+        try {
+            return socket.getInputStream().read() < 0;
+        } catch (SocketTimeoutException open) {
+            return false;
+        } finally {
+            socket.setSoTimeout(0);
+        }
+    }
+
     InetSocketAddress address() {
         return (InetSocketAddress) server.getLocalSocketAddress();
     }
--- a/src/test/java/olivechute/rig/Workers.java
+++ b/src/test/java/olivechute/rig/Workers.java
@@ -38,6 +38,8 @@
     private final Map<String, InetSocketAddress> nodes = new ConcurrentHashMap<>();
     private final Map<String, ConcurrentLinkedDeque<HttpLine>> lines = new ConcurrentHashMap<>();
     private final Map<String, Running> running = new ConcurrentHashMap<>();     // by worker and id
+    private final Set<String> givenUp = ConcurrentHashMap.newKeySet();          // before they came, as the others by worker and id
+    private final Set<String> over = ConcurrentHashMap.newKeySet();
     private final Set<String> doneKeys = ConcurrentHashMap.newKeySet();
     private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(1, Workers::daemon);
     private final ExecutorService telling = Executors.newCachedThreadPool(Workers::daemon);
@@ -91,7 +93,17 @@
         List<HttpPeer> own = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             String worker = "w" + i;
-            own.add(new HttpPeer(worker, request -> take(worker, node, request)));
+            own.add(new HttpPeer(worker, new HttpPeer.Answering() {
+                @Override
+                public byte[] answer(HttpRequest request) {
+                    return take(worker, node, request);
+                }
+
+                @Override
+                public boolean asksWhetherGivenUp() {
+                    return true;
+                }
+            }));
         }
         peers.put(node, own);
         lines.put(node, new ConcurrentLinkedDeque<>());
@@ -115,12 +127,18 @@
 
     private byte[] take(String worker, String node, HttpRequest request) {
         if (request.method().equals("DELETE")) {
-            Running given = running.remove(worker + " " + request.path().substring("/jobs/".length()));
-            if (given != null && given.end()) {
+            String job = worker + " " + request.path().substring("/jobs/".length());
+            Running given = running.remove(job);
+            if (given == null && !over.contains(job)) {
+                givenUp.add(job);           // the word came before the job
+            } else if (given != null && given.end()) {
                 log(given, false);
             }
             return GIVEN_UP;
         }
+        if (givenUp.remove(worker + " " + request.headers().get("X-Txn"))) {
+            return ACCEPTED;
+        }
         Running job = new Running(worker, node, request);
         running.put(worker + " " + job.id, job);
         if (doneKeys.contains(String.valueOf(job.key))) {
@@ -138,6 +156,7 @@
     }
 
     private void done(Running job) {
+        over.add(job.worker + " " + job.id);
         running.remove(job.worker + " " + job.id, job);
         if (job.end()) {
             if (!job.repeated) {
