Test the supervisor whole with real nodes and a replica, and tell programs apart by digest

SuperviseIT runs the built jar as store, supervisor and nodes: change in the same process, refusal, a supervisor killed and its node taken over, a move beside, SIGTERM.

--- a/src/main/java/olivechute/supervise/Launches.java
+++ b/src/main/java/olivechute/supervise/Launches.java
@@ -21,10 +21,11 @@
     NodeEvent.Ordered ordered(Supervised node, VersionSpec spec, long number) {
         String program = spec.getProgram().isEmpty() ? own : spec.getProgram();
         try {
-            Programs.check(program, spec.getDigest());
-            return new NodeEvent.Ordered(new Launch(spec.getId(), number, program, spec.getDigest(), config(node, spec.getSettings())), "");
+            String found = Programs.check(program, spec.getDigest());
+            String config = config(node, spec.getSettings());
+            return new NodeEvent.Ordered(new Launch(spec.getId(), number, program, spec.getDigest(), found, config), "");
         } catch (FleetFault e) {
-            return new NodeEvent.Ordered(new Launch(spec.getId(), number, program, spec.getDigest(), "{}"), e.getMessage());
+            return new NodeEvent.Ordered(new Launch(spec.getId(), number, program, spec.getDigest(), "", "{}"), e.getMessage());
         }
     }
 
--- a/src/main/java/olivechute/supervise/Programs.java
+++ b/src/main/java/olivechute/supervise/Programs.java
@@ -15,24 +15,22 @@
 final class Programs {
     private Programs() { }
 
-    /** PROGRAM_MISSING where the file is not there or has another SHA-256 digest; an empty digest asks for the file only. */
-    static void check(String program, String digest) throws SupervisionFault {
+    /** PROGRAM_MISSING where the file is not there or has another SHA-256 digest; an empty one is not asked for. Gives its digest. */
+    static String check(String program, String digest) throws SupervisionFault {
         Path path = Path.of(program);
         if (!Files.isReadable(path)) {
             throw new SupervisionFault(FaultKind.PROGRAM_MISSING, program + " cannot be read");
         }
-        if (digest.isEmpty()) {
-            return;
-        }
         String found;
         try {
             found = digest(path);
         } catch (IOException e) {
             throw new SupervisionFault(FaultKind.PROGRAM_MISSING, program + ": " + e, e);
         }
-        if (!found.equalsIgnoreCase(digest)) {
+        if (!digest.isEmpty() && !found.equalsIgnoreCase(digest)) {
             throw new SupervisionFault(FaultKind.PROGRAM_MISSING, program + " has the digest " + found + ", wanted is " + digest);
         }
+        return found;
     }
 
     /** SHA-256 in hexadecimal digits. */
--- a/src/main/java/olivechute/supervise/Records.java
+++ b/src/main/java/olivechute/supervise/Records.java
@@ -16,6 +16,7 @@
         values.setProperty("order", String.valueOf(launch.order()));
         values.setProperty("program", launch.program());
         values.setProperty("digest", launch.digest());
+        values.setProperty("found", launch.found());
         values.setProperty("config", launch.config());
         return values;
     }
@@ -36,7 +37,7 @@
         String config = values.getProperty("config");
         long order = number(values, "order");
         return program == null || version == null || config == null || order < 0 ? Optional.empty()
-            : Optional.of(new Launch(version, order, program, values.getProperty("digest", ""), config));
+            : Optional.of(new Launch(version, order, program, values.getProperty("digest", ""), values.getProperty("found", ""), config));
     }
 
     static Optional<Running> running(Properties values) {
--- a/src/main/java/olivechute/supervise/SuperviseCommand.java
+++ b/src/main/java/olivechute/supervise/SuperviseCommand.java
@@ -28,8 +28,9 @@
             SuperviseSettings settings = SuperviseSettings.load(file);
             String own = settings.program() != null ? settings.program()
                 : new File(SuperviseCommand.class.getProtectionDomain().getCodeSource().getLocation().toURI()).getPath();
-            Supervisor supervisor = new Supervisor(settings, RatisStore.connect(settings.replicas(), settings.storeTimeout()), own,
-                new Random(), System::currentTimeMillis, System.out::println);
+            Supervisor supervisor = new Supervisor(settings,
+                RatisStore.connect(settings.region(), settings.replicas(), settings.storeTimeout()), own, new Random(),
+                System::currentTimeMillis, System.out::println);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(supervisor), "end"));
             supervisor.start();
         } catch (FleetFault e) {
--- a/src/test/java/olivechute/supervise/NodeMachinePropertyTest.java
+++ b/src/test/java/olivechute/supervise/NodeMachinePropertyTest.java
@@ -111,7 +111,7 @@
 
     /** Versions 0 and 1 differ in what can change while running, the others in their programs. */
     private void order(int version, long number) {
-        on(new NodeEvent.Ordered(new Launch("v" + version, number, "p" + version / 2, "", "{\"discovery\":" + version + "}"), ""));
+        on(new NodeEvent.Ordered(new Launch("v" + version, number, "p" + version / 2, "", "", "{\"discovery\":" + version + "}"), ""));
     }
 
     /** Once nothing goes wrong any more, the newest order is what runs, and nothing else. */
--- a/src/test/java/olivechute/supervise/NodeMachineTest.java
+++ b/src/test/java/olivechute/supervise/NodeMachineTest.java
@@ -26,7 +26,7 @@
     private long now = 1000;
 
     static Launch launch(String version, long order) {
-        return new Launch(version, order, version + ".jar", "", "{}");
+        return new Launch(version, order, version + ".jar", "", "", "{}");
     }
 
     private void alone() {
@@ -194,25 +194,25 @@
 
     @Test
     void settingsThatCanChangeDoSoInTheSameProcess() {
-        Launch one = new Launch("a", 1, "j", "", "{\"discovery\":\"127.0.0.1:1\",\"name\":\"n\"}");
+        Launch one = new Launch("a", 1, "j", "", "", "{\"discovery\":\"127.0.0.1:1\",\"name\":\"n\"}");
         on(new Ordered(one, ""));
         on(new Ready(1));
-        assertEquals("reload 1 b", on(new Ordered(new Launch("b", 2, "j", "", "{\"discovery\":\"127.0.0.1:2\",\"name\":\"n\"}"), "")));
+        assertEquals("reload 1 b", on(new Ordered(new Launch("b", 2, "j", "", "", "{\"discovery\":\"127.0.0.1:2\",\"name\":\"n\"}"), "")));
         stands(NodePhase.READY, "a", 1);
         assertEquals("", on(new Tick()));
         assertEquals("keep 1 b", on(new Reloaded(1, "")));
         stands(NodePhase.READY, "b", 2);
-        assertEquals("reload 1 c", on(new Ordered(new Launch("c", 3, "j", "", "{\"discovery\":\"no\",\"name\":\"n\"}"), "")));
+        assertEquals("reload 1 c", on(new Ordered(new Launch("c", 3, "j", "", "", "{\"discovery\":\"no\",\"name\":\"n\"}"), "")));
         assertEquals("keep 1 b", on(new Reloaded(1, "discovery: must be ADDRESS:PORT")));
         stands(NodePhase.REFUSED, "b", 3);
-        assertEquals("start 2 d 1", on(new Ordered(new Launch("d", 4, "j", "", "{\"discovery\":\"127.0.0.1:2\",\"name\":\"m\"}"), "")));
+        assertEquals("start 2 d 1", on(new Ordered(new Launch("d", 4, "j", "", "", "{\"discovery\":\"127.0.0.1:2\",\"name\":\"m\"}"), "")));
     }
 
     @Test
     void settingsThatAreNotTakenOverInTimeTakeARestart() {
-        on(new Ordered(new Launch("a", 1, "j", "", "{}"), ""));
+        on(new Ordered(new Launch("a", 1, "j", "", "", "{}"), ""));
         on(new Ready(1));
-        assertEquals("reload 1 b", on(new Ordered(new Launch("b", 2, "j", "", "{\"discovery\":1}"), "")));
+        assertEquals("reload 1 b", on(new Ordered(new Launch("b", 2, "j", "", "", "{\"discovery\":1}"), "")));
         now += 20_000;
         assertEquals("start 2 b 1", on(new Tick()));
     }
--- /dev/null
+++ b/src/test/java/olivechute/supervise/SuperviseIT.java
@@ -0,0 +1,165 @@
+package olivechute.supervise;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Properties;
+import java.util.concurrent.TimeUnit;
+import olivechute.fleet.wire.NodeFigures;
+import olivechute.fleet.wire.NodeState;
+import olivechute.fleet.wire.Order;
+import olivechute.fleet.wire.VersionSpec;
+import olivechute.net.Threads;
+import olivechute.store.ReplicaAddress;
+import olivechute.store.Store;
+import olivechute.store.raft.RatisStore;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The built jar in all three parts: a replica of the store, a supervisor, and real nodes under it. */
+@Timeout(240)
+class SuperviseIT {
+    private static final Path JAR = Path.of("target/olivechute.jar").toAbsolutePath();
+
+    @TempDir
+    private Path dir;
+
+    private final List<Process> processes = new ArrayList<>();
+    private SupervisorRig rig;
+    private Store store;
+
+    @BeforeEach
+    void make() throws Exception {
+        rig = new SupervisorRig(dir);
+        String address = free();
+        String replicas = "replicas = [{ id = a, address = \"" + address + "\" }]";
+        Path file = Files.writeString(dir.resolve("store.conf"), "id = a, folder = \"" + dir.resolve("a") + "\", " + replicas);
+        run("store", file);
+        rig.line(0, "replica a leads");
+        store = RatisStore.connect(List.of(new ReplicaAddress("a", address)), Duration.ofSeconds(5));
+        Files.writeString(dir.resolve("supervise.conf"), "machine = m, folder = \"" + dir.resolve("run") + "\", figures = \"" + free() + "\"\n"
+            + "store { " + replicas + " }, program.java = [java, -Xmx64m, \"-XX:+UseSerialGC\", \"-XX:TieredStopAtLevel=1\"]\n"
+            + "nodes = [{ name = n, config = \"" + Path.of("example/config.json").toAbsolutePath() + "\", listen = \"" + rig.first
+            + "\", second = \"" + rig.second + "\", version = v1 }]\n");
+    }
+
+    private static String free() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+    }
+
+    private Process run(String command, Path settings) throws IOException {
+        Process process = new ProcessBuilder("java", "-Xmx192m", "-jar", JAR.toString(), command, "--settings", settings.toString())
+            .redirectErrorStream(true).start();
+        processes.add(process);
+        Threads.start("lines", () -> {
+            try (BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
+                lines.lines().forEach(rig::tell);
+            } catch (IOException | java.io.UncheckedIOException e) {
+                rig.tell("closed: " + e);
+            }
+        });
+        return process;
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        if (store != null) {
+            store.close();
+        }
+        for (int i = 0; i < 2; i++) {
+            noted(i).flatMap(p -> ProcessHandle.of(Long.parseLong(p.getProperty("pid")))).ifPresent(ProcessHandle::destroyForcibly);
+        }
+        for (Process each : processes) {
+            each.destroyForcibly().waitFor();
+        }
+    }
+
+    private java.util.Optional<Properties> noted(int address) throws IOException {
+        Path file = dir.resolve("run").resolve("n." + address + ".pid");
+        if (!Files.exists(file)) {
+            return java.util.Optional.empty();
+        }
+        Properties values = new Properties();
+        values.load(Files.newBufferedReader(file));
+        return java.util.Optional.of(values);
+    }
+
+    private void order(String version, String settings, long number) throws Exception {
+        VersionSpec spec = VersionSpec.newBuilder().setId(version).setDigest(Programs.digest(JAR)).setSettings(settings).build();
+        Order order = Order.newBuilder().setNode("n").setVersion(version).setNumber(number).build();
+        store.write(List.of(Store.Write.put("version/" + version, spec.toByteArray()), Store.Write.put("order/n", order.toByteArray())),
+            List.of());
+    }
+
+    private NodeFigures figures(String version) throws Exception {
+        long end = System.nanoTime() + 20_000_000_000L;
+        for (long since = 0; System.nanoTime() < end;) {
+            Store.Changes changes = store.watch("figures/n", since, Duration.ofSeconds(1));
+            since = changes.version();
+            for (Store.Entry each : changes.entries()) {
+                NodeFigures told = NodeFigures.parseFrom(each.value());
+                if (told.getVersion().equals(version)) {
+                    return told;
+                }
+            }
+        }
+        throw new AssertionError("no figures under " + version);
+    }
+
+    @Test
+    void realNodesAreMovedAdoptedAndEnded() throws Exception {
+        Process supervisor = run("supervise", dir.resolve("supervise.conf"));
+        int ready = rig.line(0, "node n ready v1 on " + rig.first);
+        rig.line(0, "supervisor m fence ");
+        rig.line(0, "figures from n");
+        figures("v1");
+        String pid = noted(0).orElseThrow().getProperty("pid");
+
+        order("v2", "discovery = \"127.0.0.1:2\", settings.ceilings.open_cap = 100", 1);
+        ready = rig.line(ready + 1, "node n ready v2 on " + rig.first);
+        assertEquals(pid, noted(0).orElseThrow().getProperty("pid"), "the same process");
+        figures("v2");
+
+        order("v3", "settings.profiles = 5", 2);
+        NodeState state = SupervisorRig.report(store, s -> s.getPhase().equals("REFUSED"));
+        assertEquals("v2 2", state.getVersion() + " " + state.getOrderNumber());
+        assertTrue(state.getTrouble().contains("profiles"), state.getTrouble());
+
+        supervisor.destroyForcibly().waitFor();
+        assertTrue(ProcessHandle.of(Long.parseLong(pid)).orElseThrow().isAlive(), "the node runs on");
+        int killed = rig.said();
+        supervisor = run("supervise", dir.resolve("supervise.conf"));
+        rig.line(killed, "supervisor m fence ");
+        order("v4", "settings.fleet_size = 2", 3);
+        int drains = rig.line(killed, "node n drains v2");
+        assertTrue(rig.line(killed, "node n ready v4 on " + rig.second) < drains);
+        rig.line(drains, "node n ended unknown");
+        assertEquals(0, rig.lines.subList(killed, rig.said()).stream().filter(l -> l.startsWith("node n starts v1")
+            || l.startsWith("node n starts v2")).count());
+        figures("v4");
+
+        supervisor.toHandle().destroy();     // of the process itself would close its output too
+        assertTrue(supervisor.waitFor(60, TimeUnit.SECONDS));
+        assertEquals(143, supervisor.exitValue());
+        rig.line(drains, "node n ended 143");
+        assertFalse(Files.exists(dir.resolve("run").resolve("n.1.pid")));
+        assertEquals("", SupervisorRig.asks(rig.second, "/health/ready"));
+        assertTrue(store.get("machine/m").isEmpty(), "the report went with the lease");
+    }
+}
--- a/src/test/java/olivechute/supervise/SuperviseSettingsTest.java
+++ b/src/test/java/olivechute/supervise/SuperviseSettingsTest.java
@@ -58,7 +58,7 @@
         assertEquals("{\"name\":\"n\",\"seed\":\"00ff\",\"settings\":{\"a\":[3],\"b\":5.5,\"c\":true}}",
             Overlay.lay(base, "settings { a = [3], c = true }"));
         assertEquals(base, Overlay.lay(base, ""));
-        for (String wrong : List.of("a = {", "include \"/etc/hostname\"", "include file(\"/etc/hostname\")", "a = ${HOME}")) {
+        for (String wrong : List.of("a = {", "include \"/etc/hostname\"", "include file(\"/etc/hostname\")", "include classpath(\"x\")", "include url(\"file:/etc/hostname\")", "a = ${HOME}")) {
             assertThrows(SettingsFault.class, () -> Overlay.lay(base, wrong), wrong);
         }
     }
