--- a/src/main/java/olivechute/supervise/LeaseKeeper.java
+++ b/src/main/java/olivechute/supervise/LeaseKeeper.java
@@ -33,7 +33,8 @@
     private FaultKind told;
 
     /** {@code clock}: steady, ms. */
-    LeaseKeeper(SuperviseSettings settings, Store store, String owner, Supplier<MachineReport> report, Consumer<String> tell, LongSupplier clock) {
+    LeaseKeeper(SuperviseSettings settings, Store store, String owner, Supplier<MachineReport> report, Consumer<String> tell,
+                LongSupplier clock) {
         this.settings = settings;
         this.store = store;
         this.owner = owner;
--- a/src/main/java/olivechute/supervise/Readiness.java
+++ b/src/main/java/olivechute/supervise/Readiness.java
@@ -8,7 +8,8 @@
 /** Asks one of our own nodes whether it is ready. */
 final class Readiness {
     private static final int WITHIN = 1000;
-    private static final byte[] ASK = "GET /health/ready HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] ASK = "GET /health/ready HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n"
+        .getBytes(StandardCharsets.US_ASCII);
     private static final String YES = "HTTP/1.1 200";
 
     private Readiness() { }
--- a/src/main/java/olivechute/supervise/SuperviseCommand.java
+++ b/src/main/java/olivechute/supervise/SuperviseCommand.java
@@ -14,12 +14,14 @@
 
 /** Runs the nodes of one machine as the store orders. */
 @Command(name = "supervise", mixinStandardHelpOptions = true, description = "Runs the nodes of one machine as the store orders.",
-    footer = "Exit status: 1 settings that cannot be used or trouble that is told, 2 wrong call, 143 after SIGTERM, once its nodes have ended.")
+    footer = "Exit status: 1 settings that cannot be used or trouble that is told, 2 wrong call, "
+        + "143 after SIGTERM, once its nodes have ended.")
 public final class SuperviseCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
 
-    @Option(names = "--settings", required = true, paramLabel = "FILE", description = "Settings in HOCON; deploy/supervise.conf has every key.")
+    @Option(names = "--settings", required = true, paramLabel = "FILE",
+        description = "Settings in HOCON; deploy/supervise.conf has every key.")
     private Path file;
 
     @Override
