Refuse each kind of include in settings texts, in one place

One class refuses all four and serves both readers. SuperviseSettingsTest was red with the plain includer.

--- a/src/main/java/olivechute/config/Hocon.java
+++ b/src/main/java/olivechute/config/Hocon.java
@@ -3,8 +3,6 @@
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigException;
 import com.typesafe.config.ConfigFactory;
-import com.typesafe.config.ConfigIncludeContext;
-import com.typesafe.config.ConfigIncluder;
 import com.typesafe.config.ConfigObject;
 import com.typesafe.config.ConfigParseOptions;
 import com.typesafe.config.ConfigResolveOptions;
@@ -50,18 +48,6 @@
         return new Hocon("", root, faults);
     }
 
-    private static final class NoIncludes implements ConfigIncluder {
-        @Override
-        public ConfigIncluder withFallback(ConfigIncluder other) {
-            return this;
-        }
-
-        @Override
-        public ConfigObject include(ConfigIncludeContext context, String what) {
-            throw new ConfigException.Generic("includes no other file: '" + what + "'");
-        }
-    }
-
     private String key(String name) {
         return path.isEmpty() ? name : path + "." + name;
     }
--- a/src/main/java/olivechute/supervise/Overlay.java
+++ b/src/main/java/olivechute/supervise/Overlay.java
@@ -3,18 +3,11 @@
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigException;
 import com.typesafe.config.ConfigFactory;
-import com.typesafe.config.ConfigIncludeContext;
-import com.typesafe.config.ConfigIncluder;
-import com.typesafe.config.ConfigIncluderClasspath;
-import com.typesafe.config.ConfigIncluderFile;
-import com.typesafe.config.ConfigIncluderURL;
-import com.typesafe.config.ConfigObject;
 import com.typesafe.config.ConfigParseOptions;
 import com.typesafe.config.ConfigRenderOptions;
 import com.typesafe.config.ConfigResolveOptions;
-import java.io.File;
-import java.net.URL;
 import java.util.List;
+import olivechute.config.NoIncludes;
 import olivechute.fault.FaultKind;
 import olivechute.fault.SettingsFault;
 
@@ -53,33 +46,4 @@
     private static Config parse(String text) {
         return ConfigFactory.parseString(text, ConfigParseOptions.defaults().setIncluder(new NoIncludes()));
     }
-
-    /** What is laid over is what the store holds: no file of the machine and no address has a part in it. */
-    private static final class NoIncludes
-        implements ConfigIncluder, ConfigIncluderFile, ConfigIncluderURL, ConfigIncluderClasspath {
-        @Override
-        public ConfigIncluder withFallback(ConfigIncluder other) {
-            return this;
-        }
-
-        @Override
-        public ConfigObject include(ConfigIncludeContext context, String what) {
-            throw new ConfigException.Generic("includes nothing else: '" + what + "'");
-        }
-
-        @Override
-        public ConfigObject includeFile(ConfigIncludeContext context, File what) {
-            return include(context, what.toString());
-        }
-
-        @Override
-        public ConfigObject includeURL(ConfigIncludeContext context, URL what) {
-            return include(context, what.toString());
-        }
-
-        @Override
-        public ConfigObject includeResources(ConfigIncludeContext context, String what) {
-            return include(context, what);
-        }
-    }
 }
