--- a/src/main/java/olivechute/StoreCommand.java
+++ b/src/main/java/olivechute/StoreCommand.java
@@ -44,7 +44,7 @@
             }
             say(fault.getMessage());
         } catch (FleetFault e) {
-            say(e.getMessage());
+            spec.commandLine().getErr().println(e.getMessage());
         }
         return 1;
     }
