--- a/src/test/java/olivechute/fleet/FleetIT.java
+++ b/src/test/java/olivechute/fleet/FleetIT.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import olivechute.rig.Fleet;
 import olivechute.rig.Recipe;
 import olivechute.rig.Versions;
@@ -18,15 +20,22 @@
     static final Duration THROUGH = Duration.ofSeconds(90);
     static final long SOON = 30_000;
     private static final int RATE = 80;
+    private static final Duration SOON_LED = Duration.ofSeconds(20);
 
     final Versions versions = new Versions(Recipe.JAR);
     private final long seed = 20261204;
+    private final Map<String, Long> marks = new HashMap<>();
     Fleet fleet;
     private boolean passed;
 
+    /** The stages of every change of the test. */
+    Fleet.Stages stages() {
+        return Fleet.Stages.of(4);
+    }
+
     @BeforeEach
     void open() {
-        fleet = new Fleet(2, 2, seed);
+        fleet = new Fleet(2, 2, seed, stages());
         fleet.nodes().clients().load(RATE);
         fleet.nodes().clients().awaitServed(100, SOON);
     }
@@ -54,4 +63,39 @@
     void awaitMore(int jobs) {
         fleet.nodes().clients().awaitServed(fleet.nodes().ledger().answers().size() + jobs, SOON);
     }
+
+    /** Proposes an equal program; once the first node has been told to end, the change has begun. */
+    void begin() {
+        fleet.proposeProgram("v2", versions.equal());
+        fleet.nodes().clients().awaitReady(ready -> ready.containsValue(false), SOON);
+    }
+
+    /** No node is told to end while so many jobs are served. */
+    void assertNothingMoves(int jobs) {
+        Map<String, Long> from = new HashMap<>();
+        fleet.machines().forEach(machine -> from.put(machine, fleet.supervisor(machine).mark()));
+        awaitMore(jobs);
+        from.forEach((machine, mark) -> assertEquals(List.of(),
+            fleet.supervisor(machine).linesAfter(mark).stream().filter(line -> line.contains(" drains ")).toList()));
+    }
+
+    /** Notes where each replica's output stands. */
+    void markReplicas() {
+        fleet.replicas().forEach((id, replica) -> marks.put(id, replica.mark()));
+    }
+
+    /** Waits until each other replica says, after its mark, that it leads or whom it follows instead. */
+    void awaitNewLead(String old) {
+        for (var replica : fleet.replicas().entrySet()) {
+            if (!replica.getKey().equals(old)) {
+                replica.getValue().awaitLine("replica " + replica.getKey() + " (leads term|follows (?!" + old + ")\\w)",
+                    marks.get(replica.getKey()), SOON_LED);
+            }
+        }
+    }
+
+    /** Waits for a line of a replica after its mark. */
+    void awaitReplica(String id, String line) {
+        fleet.replicas().get(id).awaitLine("replica " + id + " " + line, marks.get(id), SOON_LED);
+    }
 }
--- a/src/test/java/olivechute/rig/Fleet.java
+++ b/src/test/java/olivechute/rig/Fleet.java
@@ -29,6 +29,7 @@
     private final Map<String, List<LinkProxy>> links = new LinkedHashMap<>();
     private final Map<String, String> machineOf = new LinkedHashMap<>();
     private final List<Folder> disks = new ArrayList<>();
+    private final Map<String, Path> data = new LinkedHashMap<>();
     private final Stages stages;
 
     /** The stages of every change: nodes at their ends, and the least and longest time and the least jobs of each. */
@@ -68,6 +69,7 @@
         for (String id : REPLICAS) {
             Folder disk = new Folder("replica-" + id);
             disks.add(disk);
+            data.put(id, disk.at("data"));
             Path settings = folder.write("store-" + id + ".conf", "id = " + id + "\nfolder = \"" + disk.at("data") + "\"\n"
                 + replicas(addresses) + "election { least = 600ms, most = 1000ms }\n");
             replicas.put(id, Program.start(Recipe.shares("replica-" + id, Recipe.JAR, "store", "--settings", settings.toString())
@@ -130,10 +132,19 @@
         return replicas;
     }
 
+    public List<String> machines() {
+        return List.copyOf(supervisors.keySet());
+    }
+
     public Program supervisor(String machine) {
         return supervisors.get(machine);
     }
 
+    /** The folder that a replica keeps its data in. */
+    public Path data(String replica) {
+        return data.get(replica);
+    }
+
     public String machineOf(String node) {
         return machineOf.get(node);
     }
@@ -173,10 +184,15 @@
         return call(CALL, args);
     }
 
-    private List<String> call(Duration within, String... args) {
+    /** Begins a call of the operator; the caller closes it. */
+    public Program begin(String... args) {
         List<String> whole = new ArrayList<>(List.of("change", args[0], "--settings", folder.at("change.conf").toString()));
         whole.addAll(List.of(args).subList(1, args.length));
-        try (Program call = Program.start(Recipe.shares("change " + args[0], Recipe.JAR, whole.toArray(String[]::new)))) {
+        return Program.start(Recipe.shares("change " + args[0], Recipe.JAR, whole.toArray(String[]::new)));
+    }
+
+    private List<String> call(Duration within, String... args) {
+        try (Program call = begin(args)) {
             int status = call.awaitExit(within);
             call.awaitEnd();
             if (status != 0) {
--- a/src/test/java/olivechute/rig/Lines.java
+++ b/src/test/java/olivechute/rig/Lines.java
@@ -51,6 +51,11 @@
         return List.copyOf(kept);
     }
 
+    /** The lines from number {@code from} on that are still kept. */
+    synchronized List<String> after(long from) {
+        return all().subList((int) Math.max(0, Math.min(kept.size(), from - (count - kept.size()))), kept.size());
+    }
+
     /** The first line from number {@code from} on in which the pattern is found, the match at it; waits for it. */
     synchronized Matcher await(Pattern pattern, long from, Duration within) {
         long end = System.nanoTime() + within.toNanos();
--- a/src/test/java/olivechute/rig/Program.java
+++ b/src/test/java/olivechute/rig/Program.java
@@ -90,6 +90,11 @@
         return lines.all();
     }
 
+    /** Its lines after a mark that are still kept. */
+    public List<String> linesAfter(long mark) {
+        return lines.after(mark);
+    }
+
     /** A place in its output, for a wait that should pass over what came before. */
     public long mark() {
         return lines.count();
