--- a/src/test/java/olivechute/fleet/BadVersionIT.java
+++ b/src/test/java/olivechute/fleet/BadVersionIT.java
@@ -2,10 +2,12 @@
 
 import olivechute.rig.Fleet;
 import olivechute.rig.Ledger;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** A change that does harm stops by itself, and all nodes run the old version again. */
 class BadVersionIT extends FleetIT {
+    @Tag("long")
     @Test
     void oneThatRefusesATenthOfSign() {
         fleet.proposeProgram("refuses", versions.refusesTenthOfSign());
@@ -22,6 +24,7 @@
         assertKept(1);
     }
 
+    @Tag("long")
     @Test
     void oneThatIsNeverReady() {
         fleet.proposeProgram("unready", versions.neverReady());
@@ -29,6 +32,7 @@
         assertKept(1);
     }
 
+    @Tag("long")
     @Test
     void settingsThatNodesRefuse() {
         fleet.proposeSettings("refused", "settings.ceilings.dial_timeout = never");
--- a/src/test/java/olivechute/fleet/CutIT.java
+++ b/src/test/java/olivechute/fleet/CutIT.java
@@ -3,10 +3,12 @@
 import java.util.Set;
 import java.util.TreeSet;
 import olivechute.rig.Fleet;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** A machine is cut off from the store, or the store is gone: nodes serve on, and what was decided meanwhile is carried out afterwards. */
 class CutIT extends FleetIT {
+    @Tag("long")
     @Test
     void aMachineIsCutOffWhileItsNodesAreTakenBack() {
         fleet.proposeProgram("v2", versions.equal());
--- a/src/test/java/olivechute/fleet/LeadLostIT.java
+++ b/src/test/java/olivechute/fleet/LeadLostIT.java
@@ -1,6 +1,7 @@
 package olivechute.fleet;
 
 import olivechute.rig.Program;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** The replica that leads falls, or stands still past its term and wakes, in the middle of a change: another goes on, none repeats. */
@@ -16,6 +17,7 @@
         assertKept(1);
     }
 
+    @Tag("long")
     @Test
     void itStandsStillPastItsTermAndWakes() {
         begin();
--- a/src/test/java/olivechute/fleet/RolloutIT.java
+++ b/src/test/java/olivechute/fleet/RolloutIT.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import olivechute.rig.Ledger;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** A change that does no harm goes through all nodes, one of them away at a time, and nothing is lost. */
@@ -13,6 +14,7 @@
         assertTrue(fleet.nodes().ledger().count("sign", Ledger.End.SERVED) > 200);
     }
 
+    @Tag("long")
     @Test
     void anEqualProgramGoesThroughAllNodes() {
         fleet.proposeProgram("v2", versions.equal());
