See an added delay where the usual one is short and uneven

A version 30 ms slower went through a fleet of four nodes to DONE: delay is compared as a multiple of what is usual, and where that is some tenths of a ms its own unevenness between blocks, times a hundred, hid the shift. Weighed: a comparison of differences with a variance of its own (a second kind of series), and more seconds a stage, which did not help. What matters (10 ms) is now on top of each delay, in the series and off again in the text. SlowVersionIT ran red against the program before (DONE after 62 s) and green now (73 s alone); the new test of RolloutTest failed at its first seed before and passes 20.

--- a/src/main/java/olivechute/rollout/Comparison.java
+++ b/src/main/java/olivechute/rollout/Comparison.java
@@ -71,6 +71,10 @@
         return slower();
     }
 
+    /**
+     * Delay is compared with {@link DelayShift#MATTERS_MS} on top of each: of what is usually near nothing any uneven part is large, and
+     * as a multiple of that a delay that was added would never be proven.
+     */
     private Optional<String> slower() {
         if (evidence.series() == 0) {
             return Optional.empty();
@@ -80,7 +84,7 @@
             double least = (delay.shift - delay.width(chance, DELAYS, 10)) * delay.level;
             if (least > DelayShift.MATTERS_MS) {
                 return Optional.of(text("added delay %.1f ms at new nodes against %.1f ms at old ones, difference at least %.1f ms, "
-                    + "after %d s", delay.found, delay.level, least, seconds()));
+                    + "after %d s", delay.found - DelayShift.MATTERS_MS, delay.level - DelayShift.MATTERS_MS, least, seconds()));
             }
         }
         Shift tail = evidence.quick < 0 || moved.size() < TAIL_NODES ? null : shift(evidence.tail(), evidence.newStreams);
--- a/src/main/java/olivechute/rollout/Sample.java
+++ b/src/main/java/olivechute/rollout/Sample.java
@@ -68,13 +68,13 @@
         return c < classes ? jobs(row, c) : row[classes * PER_CLASS];
     }
 
-    /** What of them the series counts: worth, not failed, not refused, not late; delay in ms; quick ones. */
+    /** What of them the series counts: worth, not failed, not refused, not late; delay in ms, with what matters on top of each; quick ones. */
     static double good(long[] row, int series, List<String> classes, Worths worths) {
         int c = series / Evidence.PER_CLASS;
         int kind = series % Evidence.PER_CLASS;
         if (c >= classes.size()) {
             int at = classes.size() * PER_CLASS;
-            return kind == 0 ? row[at + 1] / 1000.0 : row[at + 2];
+            return kind == 0 ? row[at + 1] / 1000.0 + row[at] * (double) DelayShift.MATTERS_MS : row[at + 2];
         }
         int at = c * PER_CLASS;
         return switch (kind) {
--- /dev/null
+++ b/src/test/java/olivechute/fleet/SlowVersionIT.java
@@ -0,0 +1,26 @@
+package olivechute.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.List;
+import olivechute.rig.Fleet;
+import org.junit.jupiter.api.Test;
+
+/** A version that does no harm but for its time is stopped by the comparison of delays alone, after one node. */
+class SlowVersionIT extends FleetIT {
+    /** The first is watched longer than the comparison needs on four nodes. */
+    @Override
+    Fleet.Stages stages() {
+        return new Fleet.Stages(List.of(1, 4), Duration.ofSeconds(3), Duration.ofSeconds(60), 20, 1);
+    }
+
+    @Test
+    void oneSlowerBy30MillisIsTakenBack() {
+        fleet.proposeProgram("slow", versions.slower(30));
+        List<String> shown = assertEnds("STOPPED", Fleet.BASE);
+        assertEquals(1, shown.stream().filter(line -> line.startsWith("reason: added delay ")).count(), shown.toString());
+        assertEquals(1, shown.stream().filter("stage: 1 of 2"::equals).count(), shown.toString());
+        assertKept(1);
+    }
+}
--- a/src/test/java/olivechute/rollout/RolloutTest.java
+++ b/src/test/java/olivechute/rollout/RolloutTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import olivechute.fault.ChangeFault;
@@ -274,4 +275,17 @@
             assertTrue(faults.stream().allMatch(fault -> fault.kind() == FaultKind.CHANGE_INVALID));
         }
     }
+
+    /** Where nodes add next to nothing, that much is anything between 0.1 and 1 ms from one second to the next; 30 ms still show. */
+    @Test
+    void addedDelayIsSeenWhereItIsUsuallyShortAndUneven() {
+        for (long seed = 1; seed <= 20; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            SmallFleet fleet = new SmallFleet(1, new Stage(1, 0, 60_000, 120_000, 100), SmallFleet.LAST);
+            fleet.delays = node -> node.delay[node.version.equals("v2") ? 21 : random.nextInt(3, 10)] += 20;
+            fleet.until(Phase.STOPPED);
+            assertEquals(0, fleet.progress.stage(), "seed " + seed + ": " + fleet.progress.reason());
+            assertTrue(fleet.progress.reason().startsWith("added delay "), "seed " + seed + ": " + fleet.progress.reason());
+        }
+    }
 }
--- a/src/test/java/olivechute/rollout/SmallFleet.java
+++ b/src/test/java/olivechute/rollout/SmallFleet.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /** Six like nodes in two zones without any chance: each ends 80 verify and 20 sign jobs a second. Orders take two seconds. */
 final class SmallFleet {
@@ -17,6 +18,8 @@
     int goodAtNew = 90;
     Map<String, String> orders = Map.of();
     int mostAtOnce;
+    /** Counts the added delays of a node's jobs of one second. */
+    Consumer<SimNode> delays = node -> node.delay[20] += 100;
 
     SmallFleet(int mostAway, Stage... stages) {
         for (int i = 0; i < 6; i++) {
@@ -98,7 +101,7 @@
                 node.counts[c][1] += jobs * good / 100;
                 node.counts[c][3] += jobs - jobs * good / 100;
             }
-            node.delay[20] += 100;
+            delays.accept(node);
             node.sequence++;
         }
         boolean other = node.ordered != null && !node.ordered.equals(node.version);
