Test a full disk at the leading replica in the middle of a change

Trouble at the disk was tested on the store alone, not while its replica drives a change. Two ways: a folder that takes no more, and a bound on the length of files, where the log's own write fails. The replica says that its disk is full, another leads, the change ends DONE; after room is made it follows again, and is then needed for a majority that shows the end. Weighed: a quota, which the rig's replicas do not have. Not broken on purpose.

--- /dev/null
+++ b/src/test/java/olivechute/fleet/DiskFullIT.java
@@ -0,0 +1,58 @@
+package olivechute.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The disk of the replica that leads becomes full in the middle of a change: it says so and steps aside, another goes on, it comes back. */
+class DiskFullIT extends FleetIT {
+    private interface Act {
+        void on(String replica) throws IOException, InterruptedException;
+    }
+
+    private void anotherGoesOn(Act fill, Act relieve) throws IOException, InterruptedException {
+        begin();
+        String lead = fleet.lead();
+        markReplicas();
+        fill.on(lead);
+        awaitReplica(lead, "disk: full");
+        awaitNewLead(lead);
+        assertEnds("DONE", "v2");
+        markReplicas();
+        relieve.on(lead);
+        awaitReplica(lead, "disk: well");
+        awaitReplica(lead, "follows");
+        String next = fleet.lead();
+        assertNotEquals(lead, next);
+        fleet.replicas().get(next).kill();              // from here on the one that came back is needed for a majority
+        List<String> shown = fleet.call("show");
+        assertTrue(shown.contains("phase: DONE"), shown.toString());
+        assertKept(1);
+    }
+
+    @Test
+    void itsFolderTakesNoMore() throws IOException, InterruptedException {
+        anotherGoesOn(replica -> {
+            Path link = Files.createSymbolicLink(fleet.data(replica).resolve("link"), Path.of("/dev/full"));
+            Files.move(link, fleet.data(replica).resolve("probe"), StandardCopyOption.REPLACE_EXISTING);
+        }, replica -> Files.delete(fleet.data(replica).resolve("probe")));
+    }
+
+    /** What fails is the write of the log itself. */
+    @Test
+    void itsLogTakesNoMore() throws IOException, InterruptedException {
+        anotherGoesOn(replica -> limit(replica, "1:"), replica -> limit(replica, "unlimited:"));
+    }
+
+    private void limit(String replica, String bytes) throws IOException, InterruptedException {
+        long pid = fleet.replicas().get(replica).pid();
+        assertEquals(0, new ProcessBuilder("prlimit", "--pid", "" + pid, "--fsize=" + bytes).inheritIO().start().waitFor());
+    }
+}
