--- a/src/test/java/olivechute/fleet/DiskFullIT.java
+++ b/src/test/java/olivechute/fleet/DiskFullIT.java
@@ -9,9 +9,11 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** The disk of the replica that leads becomes full in the middle of a change: it says so and steps aside, another goes on, it comes back. */
+@Tag("long")
 class DiskFullIT extends FleetIT {
     private interface Act {
         void on(String replica) throws IOException, InterruptedException;
--- a/src/test/java/olivechute/fleet/SlowVersionIT.java
+++ b/src/test/java/olivechute/fleet/SlowVersionIT.java
@@ -5,9 +5,11 @@
 import java.time.Duration;
 import java.util.List;
 import olivechute.rig.Fleet;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** A version that does no harm but for its time is stopped by the comparison of delays alone, after one node. */
+@Tag("long")
 class SlowVersionIT extends FleetIT {
     /** The first is watched longer than the comparison needs on four nodes. */
     @Override
