Look commands up without the library that only change has

Found before the build's own checks came to it: 'check', 'cost' and every other call through the command line ended with NoClassDefFoundError (StateMachineException), as the constructor of ChangeCommand linked a reference to RatisStore and the jar has no Ratis. A lambda links it at its call.

--- a/src/main/java/olivechute/lead/ChangeCommand.java
+++ b/src/main/java/olivechute/lead/ChangeCommand.java
@@ -87,7 +87,8 @@
 
     /** One that reaches the replicas that its settings name. */
     public ChangeCommand() {
-        this(RatisStore::connect);
+        // A lambda, not a reference: that would ask for the library as soon as any command is looked up, where only `change` has it.
+        this((region, replicas, timeout) -> RatisStore.connect(region, replicas, timeout));
     }
 
     ChangeCommand(Stores stores) {
