Tag the tests of machines cut off as long, to keep process tests within six minutes

That the store comes back after all replicas were killed stays in the ordinary build in StoreGroupIT.

--- a/src/test/java/olivechute/fleet/CutIT.java
+++ b/src/test/java/olivechute/fleet/CutIT.java
@@ -7,8 +7,8 @@
 import org.junit.jupiter.api.Test;
 
 /** A machine is cut off from the store, or the store is gone: nodes serve on, and what was decided meanwhile is carried out afterwards. */
+@Tag("long")
 class CutIT extends FleetIT {
-    @Tag("long")
     @Test
     void aMachineIsCutOffWhileItsNodesAreTakenBack() {
         fleet.proposeProgram("v2", versions.equal());
