Review case 2: half requests fill the heap, requests are lost and the node may end

685 clients that stop in the middle of a request fill the heap of 64 MB at the limits of 192 MB and 1,024 descriptors. Test: review/2/run.sh. Nothing is fixed.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Runs the case; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+record=review/2/record.txt
+rm -f "$record"
+java -cp target/review StalledClients "$record"
+status=$?
+grep -q " exit $status\$" "$record" 2>/dev/null || status=2
+exit $status
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -195,9 +195,13 @@
 
     /** A client with one connection. */
     static final class Client implements AutoCloseable {
+        /** How long it waits for a late answer before it throws a SocketTimeoutException. */
+        private static final int PATIENCE_MS = 1000;
+
         private final int port;
         private Socket socket;
         private InputStream in;
+        private boolean written;
 
         Client(int port) {
             this.port = port;
@@ -209,12 +213,14 @@
             if (socket == null) {
                 socket = new Socket("127.0.0.1", port);
                 socket.setTcpNoDelay(true);
-                socket.setSoTimeout(remainingMs + 2000);
                 in = new BufferedInputStream(socket.getInputStream());
             }
+            socket.setSoTimeout(remainingMs + PATIENCE_MS);
+            written = false;
             Http.write(socket, "POST " + path + " HTTP/1.1\r\nHost: backend.local\r\nX-Txn: " + id + "\r\nX-Org: " + tenant
                     + "\r\nX-Remaining: " + remainingMs + "m\r\n" + (key == null ? "" : "Idempotency-Key: " + key + "\r\n")
                     + "Content-Length: " + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body);
+            written = true;
             Http.Message answer = Http.read(in);
             if (answer == null || "close".equals(answer.field("connection"))) {
                 close();
@@ -222,6 +228,11 @@
             return answer;
         }
 
+        /** Whether the last request was written up to its last byte. */
+        boolean hasWritten() {
+            return written;
+        }
+
         boolean isOpen() {
             return socket != null;
         }
