Review case 3: a changed identity rule does not apply to open upstream connections

A node with identity.upstream gets a new rule for one sign worker by SIGHUP. It goes on sending that worker each job over the open TLS connection, and clients get the results as 200, although docs/identities.md says that changed rules apply at once, also to open connections.

--- a/review/rig/Http.java
+++ b/review/rig/Http.java
@@ -41,6 +41,11 @@
     static ServerSocket serve(Handler handler) throws IOException {
         ServerSocket listener = new ServerSocket();
         listener.bind(new InetSocketAddress("127.0.0.1", 0), 256);
+        return serve(listener, handler);
+    }
+
+    /** Passes each request that comes to a listener to the handler, which answers it. */
+    static ServerSocket serve(ServerSocket listener, Handler handler) {
         daemon(() -> {
             while (!listener.isClosed()) {
                 try {
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -62,6 +63,24 @@
 
     /** Starts a node and returns once it is ready. */
     Process node(String name, int port, int discoveryPort, String configuration) throws Exception {
+        return node(name, port, discoveryPort, configuration, Map.of());
+    }
+
+    /** Starts a node with further environment variables and returns once it is ready. */
+    Process node(String name, int port, int discoveryPort, String configuration, Map<String, String> variables)
+            throws Exception {
+        return node(name, port, discoveryPort, configuration, variables, () -> status(port) == 200);
+    }
+
+    /** Starts a node that is ready once the check says so. */
+    Process node(
+            String name,
+            int port,
+            int discoveryPort,
+            String configuration,
+            Map<String, String> variables,
+            BooleanSupplier ready)
+            throws Exception {
         Path config = Files.writeString(folder.resolve(name + ".json"), configuration);
         Path temporary = Files.createDirectories(folder.resolve(name + ".tmp"));
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runCommand());
@@ -71,6 +90,7 @@
                 "LB_DISCOVERY", "127.0.0.1:" + discoveryPort,
                 "LB_CONFIG", config.toString(),
                 "TMPDIR", temporary.toString()));
+        builder.environment().putAll(variables);
         if (System.getenv("NODE_LOG_LEVEL") != null) {
             builder.environment().put("OLIVECHUTE_LOG_LEVEL", System.getenv("NODE_LOG_LEVEL"));
         }
@@ -83,7 +103,7 @@
             if (!process.isAlive()) {
                 throw new IOException("node " + name + " ended: " + Files.readString(log.toPath()));
             }
-            if (status(port) == 200) {
+            if (ready.getAsBoolean()) {
                 log("node " + name + " is ready");
                 return process;
             }
@@ -109,6 +129,40 @@
         }
     }
 
+    /** Waits until a line of a node's log holds a text; false if none does within 5 s. */
+    boolean awaitLog(String name, String text) throws Exception {
+        for (int i = 0; i < 100; i++) {
+            if (Files.readString(folder.resolve(name + ".log")).contains(text)) {
+                return true;
+            }
+            Thread.sleep(50);
+        }
+        return false;
+    }
+
+    /** Runs a command of the project's program to its end. */
+    void command(String... arguments) throws Exception {
+        List<String> command = new ArrayList<>(List.of("java", "-jar", "target/olivechute.jar"));
+        command.addAll(List.of(arguments));
+        Process process = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(folder.resolve("command.log").toFile()).start();
+        processes.add(process);
+        if (!process.waitFor(30, TimeUnit.SECONDS) || process.exitValue() != 0) {
+            throw new IOException(String.join(" ", command) + ": " + Files.readString(folder.resolve("command.log")));
+        }
+    }
+
+    /** Starts a command of the project's program that goes on until the case ends. */
+    Process background(String name, String... arguments) throws Exception {
+        List<String> command = new ArrayList<>(List.of("java", "-jar", "target/olivechute.jar"));
+        command.addAll(List.of(arguments));
+        Process process = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(folder.resolve(name + ".log").toFile()).start();
+        processes.add(process);
+        log(name + " starts, process " + process.pid());
+        return process;
+    }
+
     void signal(Process process, String signal) throws Exception {
         log("signal " + signal + " to " + process.pid());
         new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
