--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -84,6 +84,10 @@
         Path config = Files.writeString(folder.resolve(name + ".json"), configuration);
         Path temporary = Files.createDirectories(folder.resolve(name + ".tmp"));
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runCommand());
+        if (ignoresHangup()) {
+            // Passed on to the node, this would keep it from reading its settings again.
+            builder.command().addAll(0, List.of("env", "--default-signal=HUP"));
+        }
         builder.environment().putAll(Map.of(
                 "LB_NAME", name,
                 "LB_LISTEN", "127.0.0.1:" + port,
@@ -111,6 +115,16 @@
         throw new IOException("node " + name + " is not ready within 30 s");
     }
 
+    /** Whether this process was started with SIGHUP ignored, as by nohup. */
+    private static boolean ignoresHangup() throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/self/status"))) {
+            if (line.startsWith("SigIgn:")) {
+                return (Long.parseUnsignedLong(line.substring(7).strip(), 16) & 1) != 0;
+            }
+        }
+        return false;
+    }
+
     private static int status(int port) {
         try (Socket socket = new Socket("127.0.0.1", port)) {
             socket.setSoTimeout(2000);
--- a/review/rig/RuleChange.java
+++ b/review/rig/RuleChange.java
@@ -16,12 +16,11 @@
  */
 public final class RuleChange {
     private static final String TRUST_DOMAIN = "dev.example";
-    private static final int CLIENTS = 1;
     private static final int GAP_MS = 100;
     private static final int RUN_MS = 100;
     private static final int SLOTS = 4;
-    private static final int BEFORE_MS = 8000;
-    private static final int JOIN_MS = 5000;
+    private static final int START_MS = 30_000;
+    private static final int JOINED_MS = 3000;
     private static final int MIN_BEFORE = 20;
     private static final int AFTER_MS = 12_000;
     /** From the SIGHUP on: how long the rules may take until they hold, although the page says "at once". */
@@ -101,19 +100,18 @@
         Process node = rig.node("n0", nodePort, discovery.port(),
                 CONFIGURATION.replace("\"discovery\":\"127.0.0.1:1\"", "\"discovery\":\"127.0.0.1:" + discovery.port() + "\""),
                 Map.of("OLIVECHUTE_SETTINGS", settings.toString()));
-        for (int i = 0; i < CLIENTS; i++) {
-            int client = i;
-            Http.daemon(() -> runClient(client));
+        Http.daemon(this::runClient);
+        for (int waited = 0; runs.get("s-1").get() < MIN_BEFORE; waited += 100) {
+            if (waited >= START_MS) {
+                rig.log("cannot run: the only worker got too few jobs");
+                return 2;
+            }
+            Thread.sleep(100);
         }
-        Thread.sleep(JOIN_MS);
         discovery.put("s-2", "astana-1", "k2-10", addresses.get("s-2"), "active", 0);
         rig.log("s-2 joins");
-        Thread.sleep(BEFORE_MS - JOIN_MS);
+        Thread.sleep(JOINED_MS);
         rig.log("before the change s-1 got " + runs.get("s-1") + " jobs, s-2 " + runs.get("s-2"));
-        if (runs.get("s-1").get() < MIN_BEFORE) {
-            rig.log("cannot run: the worker of the node's own zone got too few jobs");
-            return 2;
-        }
         if (Rig.TROUBLE) {
             Files.writeString(settings, settings(trust,
                     "{ host = \"s-1\", id = \"spiffe://" + TRUST_DOMAIN + "/sign-worker/s-1-renewed\" }, " + everyWorker));
@@ -178,7 +176,7 @@
         }
     }
 
-    private void runClient(int number) {
+    private void runClient() {
         try (Rig.Client client = new Rig.Client(nodePort)) {
             while (!ending) {
                 int job = jobs.incrementAndGet();
@@ -186,15 +184,15 @@
                 String id = String.format("%016x", 0x4900000L + job);
                 try {
                     Http.Message answer = client.send(sign ? "/sign" : "/verify", id,
-                            number % 2 == 0 ? "steppe-aid" : "aral-water", 5000, sign ? "key" + id : null, "document " + job);
+                            job % 2 == 0 ? "steppe-aid" : "aral-water", 5000, sign ? "key" + id : null, "document " + job);
                     String text = answer == null ? "none" : answer.status() + " " + answer.body().strip();
                     answers.computeIfAbsent(text, k -> new AtomicInteger()).incrementAndGet();
                     if (text.equals("200 signed by s-1 after the change")) {
                         servedAfter.incrementAndGet();
                     }
-                    rig.log("client " + number + " got for " + id + ": " + text);
+                    rig.log("the client got for " + id + ": " + text);
                 } catch (IOException e) {
-                    rig.log("client " + number + " got no answer for " + id + ": " + e);
+                    rig.log("the client got no answer for " + id + ": " + e);
                     client.close();
                 }
                 Thread.sleep(GAP_MS);
