A repeated status call of an earlier attempt no longer ends the attempt in flight

Cause: a status event names no attempt. JobStatusHandler doubted an end only where the earlier attempt's end had not been reported; one that was reported may be reported again.

Change: EarlierAttempts keeps what may still arrive of ended attempts; JobStatusHandler attributes each event to the attempt in flight, to an earlier one (ignored), or to neither for certain: then the endpoint cancels the attempt in flight before another is sent. An unsafe job is never sent again to an endpoint that handed it back (new outcome RETURNED), as no event could then prove that the second attempt never ran; without another endpoint it is refused at once. A cancellation for this reason is CANCELLED and no longer ejects the endpoint as ACCEPT_TIMEOUT did.

--- a/src/main/java/olivechute/health/EndpointConnectionHealth.java
+++ b/src/main/java/olivechute/health/EndpointConnectionHealth.java
@@ -141,7 +141,7 @@
                 adaptiveLimit.onServed(inFlightCount + 1);
             }
             case ERROR -> onError(nowUs);
-            case REJECTED -> adaptiveLimit.decrease(nowUs, inFlightCount);
+            case REJECTED, RETURNED -> adaptiveLimit.decrease(nowUs, inFlightCount);
             case CONNECT_FAILED -> {
                 if (++consecutiveConnectFailures >= CONSECUTIVE_FAILURES_TO_EJECT) {
                     eject(nowUs, consecutiveConnectFailures + " connects failed in a row");
--- a/src/main/java/olivechute/loadbalancing/Attempt.java
+++ b/src/main/java/olivechute/loadbalancing/Attempt.java
@@ -11,6 +11,8 @@
     final boolean usesNewConnection;
 
     boolean inFlight = true;
+    /** Whether the attempt ended as {@link AttemptOutcome#RETURNED}. */
+    boolean returned;
     /** Whether the endpoint did not report the start within {@link #startTimeoutUs()}; see {@link ClassExclusion}. */
     boolean startOverdue;
 
--- a/src/main/java/olivechute/loadbalancing/AttemptObserver.java
+++ b/src/main/java/olivechute/loadbalancing/AttemptObserver.java
@@ -36,7 +36,7 @@
         capacityEstimator.onReport(nowUs, endpoint, loadReport);
         switch (outcome) {
             case OK -> onSuccess(nowUs, attempt);
-            case REJECTED -> {
+            case REJECTED, RETURNED -> {
                 capacityEstimator.onRejected(nowUs, endpoint);
                 outlierDetector.onRejected(nowUs, endpoint);
             }
--- a/src/main/java/olivechute/loadbalancing/AttemptOutcome.java
+++ b/src/main/java/olivechute/loadbalancing/AttemptOutcome.java
@@ -17,7 +17,10 @@
     CONNECT_FAILED(true),
     /** The connection broke while the request was in flight. */
     RESET(false),
-    /** The attempt was cancelled because the client disconnected. */
+    /**
+     * The node cancelled the attempt, because the client disconnected or because a status event that may concern an
+     * earlier attempt left it unknown whether this one still runs.
+     */
     CANCELLED(false),
     /** The node did not send the attempt because sending it would have broken a rule. */
     NOT_SENT(true),
@@ -31,7 +34,13 @@
      */
     CANCEL_UNCONFIRMED(false),
     /** The check before the first byte stopped the attempt, and nothing of it was written. */
-    SUPPRESSED(true);
+    SUPPRESSED(true),
+    /**
+     * As {@link #REJECTED}, but by a status event: the endpoint had accepted the request and handed it back without
+     * having started it. Status events do not identify their attempt, so a repetition of this one could be taken for
+     * the end of a later attempt at the same endpoint.
+     */
+    RETURNED(true);
 
     private final boolean neverExecuted;
 
--- a/src/main/java/olivechute/loadbalancing/EndpointSelector.java
+++ b/src/main/java/olivechute/loadbalancing/EndpointSelector.java
@@ -110,7 +110,9 @@
 
     /** Returns whether so few endpoints may run the request that the choice must not be limited to the working set. */
     private static boolean hasFewEligibleEndpoints(PendingRequest request) {
-        return request.requestClass.endpointKind() != null || request.possiblyExecutedAttempt != null;
+        return request.requestClass.endpointKind() != null
+                || request.possiblyExecutedAttempt != null
+                || request.returnedAttempts > 0;
     }
 
     /**
--- a/src/main/java/olivechute/loadbalancing/PendingRequest.java
+++ b/src/main/java/olivechute/loadbalancing/PendingRequest.java
@@ -27,6 +27,8 @@
 
     final List<Attempt> attempts = new ArrayList<>(1);
     int attemptsInFlight;
+    /** Number of attempts that ended as {@link AttemptOutcome#RETURNED}. */
+    int returnedAttempts;
     /** The first attempt that may have been executed, or {@code null}. */
     Attempt possiblyExecutedAttempt;
     /** Whether no further answer is needed. */
@@ -48,6 +50,19 @@
         this.clientDeadlineUs = arrivedAtUs + clientRequest.timeLeftUs();
     }
 
+    /** Returns whether an attempt at this endpoint ended as {@link AttemptOutcome#RETURNED}. */
+    boolean wasReturnedBy(Endpoint endpoint) {
+        if (returnedAttempts == 0) {
+            return false;
+        }
+        for (Attempt attempt : attempts) {
+            if (attempt.returned && attempt.endpoint.name().equals(endpoint.name())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns the expected running time in each of its slots. */
     double expectedWorkUs() {
         return clientRequest.expectedWorkUs() > 0 ? clientRequest.expectedWorkUs() : classStats.meanRunTimeUs();
--- a/src/main/java/olivechute/loadbalancing/RequestLifecycle.java
+++ b/src/main/java/olivechute/loadbalancing/RequestLifecycle.java
@@ -99,6 +99,10 @@
     void continueAfterAttempt(long nowUs, Attempt attempt, AttemptOutcome outcome, boolean complete) {
         PendingRequest request = attempt.request;
         request.answered |= complete;
+        if (outcome == AttemptOutcome.RETURNED) {
+            attempt.returned = true;
+            request.returnedAttempts++;
+        }
         if (!request.answered) {
             if (!outcome.neverExecuted() && request.possiblyExecutedAttempt == null) {
                 request.possiblyExecutedAttempt = attempt;
--- a/src/main/java/olivechute/loadbalancing/RetryBudget.java
+++ b/src/main/java/olivechute/loadbalancing/RetryBudget.java
@@ -62,7 +62,7 @@
     private static double cost(AttemptOutcome lastOutcome) {
         return switch (lastOutcome) {
             case STALE_CONNECTION, SUPPRESSED -> 0;
-            case CONNECT_FAILED, REJECTED -> NOT_EXECUTED_COST;
+            case CONNECT_FAILED, REJECTED, RETURNED -> NOT_EXECUTED_COST;
             default -> POSSIBLY_EXECUTED_COST;
         };
     }
--- a/src/main/java/olivechute/loadbalancing/RetryPolicy.java
+++ b/src/main/java/olivechute/loadbalancing/RetryPolicy.java
@@ -8,6 +8,10 @@
  * a quick run of the class, or if the node's {@link RetryBudget} is used up. {@link HealthView#allowsRetry} checks the
  * last two.
  *
+ * <p>A request that must not be executed twice is never sent again to an endpoint that handed it back
+ * ({@link AttemptOutcome#RETURNED}). Of two attempts at one endpoint no status event says which of them it concerns, so
+ * a repeated one could be taken for the end of an attempt that runs.
+ *
  * <p>A retry waits at the head of its queue until an endpoint can take it.
  */
 final class RetryPolicy {
@@ -16,10 +20,12 @@
 
     private final LoadBalancerSettings settings;
     private final HealthView healthView;
+    private final EndpointTable endpoints;
 
-    RetryPolicy(LoadBalancerSettings settings, HealthView healthView) {
+    RetryPolicy(LoadBalancerSettings settings, HealthView healthView, EndpointTable endpoints) {
         this.settings = settings;
         this.healthView = healthView;
+        this.endpoints = endpoints;
     }
 
     /** Returns whether another attempt is allowed after one with this outcome, and takes it from the retry budget. */
@@ -31,6 +37,7 @@
                 && lastOutcome != AttemptOutcome.CANCEL_UNCONFIRMED
                 && request.attempts.size() < settings.limits().maxAttempts()
                 && nowUs <= request.clientDeadlineUs - AdmissionControl.QUEUE_ANSWER_MARGIN_US
+                && (lastOutcome != AttemptOutcome.RETURNED || mayRunAtAnyEndpoint(nowUs, request))
                 && healthView.allowsRetry(
                         nowUs,
                         request.tenantQueue.tenant.name(),
@@ -44,10 +51,11 @@
      * more time to find an endpoint.
      */
     void extendQueueTime(long nowUs, PendingRequest request, AttemptOutcome lastOutcome) {
-        boolean connectionFailed = lastOutcome == AttemptOutcome.ACCEPT_TIMEOUT
+        boolean noSignOfOverload = lastOutcome == AttemptOutcome.ACCEPT_TIMEOUT
                 || lastOutcome == AttemptOutcome.STALE_CONNECTION
-                || lastOutcome == AttemptOutcome.SUPPRESSED;
-        if (connectionFailed) {
+                || lastOutcome == AttemptOutcome.SUPPRESSED
+                || lastOutcome == AttemptOutcome.CANCELLED;
+        if (noSignOfOverload) {
             long extendedUntilUs = Math.min(
                     request.clientDeadlineUs - AdmissionControl.QUEUE_ANSWER_MARGIN_US,
                     nowUs + request.requestClass.latencyObjectiveUs());
@@ -56,15 +64,29 @@
         }
     }
 
+    /** Returns whether any active endpoint may run the request, so that it is worth queueing. */
+    private boolean mayRunAtAnyEndpoint(long nowUs, PendingRequest request) {
+        for (Endpoint endpoint : endpoints.all()) {
+            if (endpoint.active() && mayRunAt(nowUs, request, endpoint)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
-     * Returns whether an attempt may run at an endpoint. It must be of the kind that the class needs and, for a keyed
-     * request that may have been executed, one that still drops the repeat.
+     * Returns whether an attempt may run at an endpoint. It must be of the kind that the class needs; for a request
+     * that must not be executed twice, one that has not handed it back; and for a keyed request that may have been
+     * executed, one that still drops the repeat.
      */
     boolean mayRunAt(long nowUs, PendingRequest request, Endpoint endpoint) {
         RequestClass requestClass = request.requestClass;
         if (requestClass.endpointKind() != null && !requestClass.endpointKind().equals(endpoint.info.kind())) {
             return false;
         }
+        if (requestClass.idempotency() == Idempotency.NOT_IDEMPOTENT && request.wasReturnedBy(endpoint)) {
+            return false;
+        }
         if (request.possiblyExecutedAttempt == null || requestClass.idempotency() != Idempotency.KEYED) {
             return true;
         }
--- a/src/main/java/olivechute/loadbalancing/ShareLoadBalancer.java
+++ b/src/main/java/olivechute/loadbalancing/ShareLoadBalancer.java
@@ -78,7 +78,7 @@
         admissionControl = new AdmissionControl(settings, queues, quotaEstimator, queueCheckIntervalUs);
         retryAfterEstimator = new RetryAfterEstimator(
                 queues, queueCheckIntervalUs, settings.limits().maxRetryAfterUs());
-        RetryPolicy retryPolicy = new RetryPolicy(settings, healthView);
+        RetryPolicy retryPolicy = new RetryPolicy(settings, healthView, endpoints);
         lifecycle = new RequestLifecycle(
                 settings,
                 helper,
--- a/src/main/java/olivechute/proxy/ActiveRequest.java
+++ b/src/main/java/olivechute/proxy/ActiveRequest.java
@@ -1,7 +1,5 @@
 package olivechute.proxy;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.function.LongPredicate;
 import olivechute.loadbalancing.AttemptOutcome;
 import olivechute.loadbalancing.LoadBalancerSettings;
@@ -24,6 +22,7 @@
     final int classIndex;
     final RequestClass requestClass;
     final long openedAtUs;
+    final EarlierAttempts earlierAttempts = new EarlierAttempts();
     /** When the node gives up the request: the client's deadline, or the end of a drain if that is earlier. */
     volatile long giveUpAtUs;
 
@@ -57,15 +56,16 @@
      * attempt.
      */
     boolean cancelRequested;
-    /** Whether the endpoint reported the end of the attempt in flight. */
-    boolean attemptEndReported;
+    /**
+     * Whether the endpoint reported that the attempt in flight runs, by a status event that concerns no earlier
+     * attempt.
+     */
+    boolean startConfirmed;
     /** When the attempt in flight started to run; see {@link #started()} for whether it did. */
     long startedAtUs = NOT_STARTED;
 
     private final LoadBalancerSettings settings;
     private final LongPredicate listIsCurrent;
-    private List<String> triedEndpoints = List.of();
-    private List<String> endpointsWithoutEndReport = List.of();
 
     /**
      * Creates the state of a request that has just arrived.
@@ -107,7 +107,7 @@
         sentAtUs = nowUs;
         attemptAccepted = false;
         cancelRequested = false;
-        attemptEndReported = false;
+        startConfirmed = false;
         startedAtUs = NOT_STARTED;
     }
 
@@ -116,34 +116,6 @@
         return attemptAccepted ? acceptedAtUs - sentAtUs : -1;
     }
 
-    /**
-     * Records the end of an attempt that may have reached its endpoint, so that later status events from there are
-     * treated as possibly belonging to it.
-     */
-    void recordPossiblyReached(String endpoint, AttemptOutcome outcome) {
-        triedEndpoints = append(triedEndpoints, endpoint);
-        boolean answeredByEndpoint = outcome == AttemptOutcome.ERROR || outcome == AttemptOutcome.REJECTED;
-        if (!attemptEndReported && !answeredByEndpoint) {
-            endpointsWithoutEndReport = append(endpointsWithoutEndReport, endpoint);
-        }
-    }
-
-    private static List<String> append(List<String> endpoints, String endpoint) {
-        List<String> extended = endpoints.isEmpty() ? new ArrayList<>(2) : endpoints;
-        extended.add(endpoint);
-        return extended;
-    }
-
-    /** Whether an earlier attempt may have reached this endpoint. */
-    boolean wasTriedBefore(String endpoint) {
-        return triedEndpoints.contains(endpoint);
-    }
-
-    /** Whether an earlier attempt may have reached this endpoint and the endpoint never reported how it ended. */
-    boolean wasTriedWithoutEndReport(String endpoint) {
-        return endpointsWithoutEndReport.contains(endpoint);
-    }
-
     @Override
     public boolean maySendFirstByte(UpstreamRequest attempt, long nowUs, long transitTimeUs) {
         return inFlightAttempt == attempt && maySendAttempt(nowUs, transitTimeUs);
--- a/src/main/java/olivechute/proxy/JobStatusHandler.java
+++ b/src/main/java/olivechute/proxy/JobStatusHandler.java
@@ -3,6 +3,7 @@
 import java.util.function.BiConsumer;
 import olivechute.loadbalancing.AttemptOutcome;
 import olivechute.loadbalancing.LoadReport;
+import org.tinylog.Logger;
 
 /**
  * Applies job status events of an endpoint to the attempt in flight of a request. Used by {@link RequestDispatcher} on
@@ -14,6 +15,15 @@
         void finish(ActiveRequest request, AttemptOutcome outcome, LoadReport load);
     }
 
+    /** Which attempt a status event concerns. */
+    private enum Attribution {
+        ATTEMPT_IN_FLIGHT,
+        /** An attempt that has ended already. */
+        EARLIER_ATTEMPT,
+        /** Either an earlier attempt or the one in flight. */
+        UNKNOWN_ATTEMPT
+    }
+
     private final UpstreamTransport transport;
     private final AttemptTracker attemptTracker;
     private final BiConsumer<ActiveRequest, byte[]> resultSender;
@@ -37,12 +47,30 @@
 
     /** Applies a status event to a request, which must have an attempt in flight. */
     void onStatus(ActiveRequest request, ProxyEvent.JobStatusReceived event) {
-        boolean fromAttemptEndpoint = request.inFlightAttempt.endpoint().equals(event.endpoint());
-        if (!fromAttemptEndpoint || mayConcernEarlierAttempt(request, event.status())) {
+        if (!request.inFlightAttempt.endpoint().equals(event.endpoint())) {
             return;
         }
+        Attribution attribution = attribute(request, event.status());
+        if (attribution != Attribution.ATTEMPT_IN_FLIGHT) {
+            Logger.debug(
+                    "request {}: {} from {} during attempt {} concerns {}",
+                    request.id,
+                    event.status(),
+                    event.endpoint(),
+                    request.inFlightAttempt.attemptNumber(),
+                    attribution);
+        }
+        switch (attribution) {
+            case ATTEMPT_IN_FLIGHT -> apply(request, event);
+            case EARLIER_ATTEMPT -> {
+                // that attempt has ended already
+            }
+            case UNKNOWN_ATTEMPT -> cancelOnce(request);
+        }
+    }
+
+    private void apply(ActiveRequest request, ProxyEvent.JobStatusReceived event) {
         attemptTracker.onAccepted(request);
-        request.attemptEndReported = event.status().endsAttempt();
         switch (event.status()) {
             case STARTED -> attemptTracker.onStarted(request);
             case RUNNING -> attemptTracker.onProgress(request, event.progress());
@@ -51,38 +79,61 @@
                 attemptFinisher.finish(request, AttemptOutcome.OK, event.loadReport());
             }
             case FAILED -> attemptFinisher.finish(request, AttemptOutcome.ERROR, event.loadReport());
-            case RETURNED -> attemptFinisher.finish(request, AttemptOutcome.REJECTED, event.loadReport());
+            case RETURNED -> attemptFinisher.finish(request, AttemptOutcome.RETURNED, event.loadReport());
             case LOST -> attemptFinisher.finish(request, AttemptOutcome.RESET, event.loadReport());
         }
     }
 
     /**
-     * Handles the case that a status event may concern an earlier attempt; returns true if the event needs no further
-     * handling. Status events do not identify the attempt. If an earlier attempt went to the same endpoint, the event
-     * may be a repeated or late one of that attempt, and certainly is if nothing of the present attempt was written. A
-     * result counts for either attempt. If the endpoint never reported how the earlier attempt ended, a start counts
-     * only once the present attempt is accepted. An end is not taken as the end of the present attempt, which could
-     * allow another attempt to run concurrently with it: the endpoint is asked to cancel the present attempt, which
-     * ends once the cancellation is confirmed.
+     * Determines which attempt a status event concerns. Status events do not identify their attempt, and an endpoint
+     * repeats each until it is acknowledged, so an event from an endpoint with an earlier attempt may be a late or
+     * repeated one of that attempt:
+     *
+     * <ul>
+     *   <li>A result counts for either attempt.
+     *   <li>Nothing can be reported of an attempt of which nothing was written.
+     *   <li>An attempt that was handed back never started. If all earlier ones at the endpoint were, a start concerns
+     *       the attempt in flight, and after that a further RETURNED does not. Otherwise a start counts only once the
+     *       attempt in flight is accepted.
+     *   <li>Any other end is of an unknown attempt, whether or not the end of the earlier one was reported.
+     * </ul>
      */
-    private boolean mayConcernEarlierAttempt(ActiveRequest request, ProxyEvent.JobStatus status) {
+    private Attribution attribute(ActiveRequest request, ProxyEvent.JobStatus status) {
         String endpoint = request.inFlightAttempt.endpoint();
-        if (status == ProxyEvent.JobStatus.DONE || !request.wasTriedBefore(endpoint)) {
-            return false;
+        if (status == ProxyEvent.JobStatus.DONE || !request.earlierAttempts.mayCauseEventsFrom(endpoint)) {
+            return Attribution.ATTEMPT_IN_FLIGHT;
         }
         if (!transport.hasWrittenBytes(request.inFlightAttempt)) {
-            return true;
-        }
-        if (!request.wasTriedWithoutEndReport(endpoint)) {
-            return false;
+            return Attribution.EARLIER_ATTEMPT;
         }
         if (!status.endsAttempt()) {
-            return !request.attemptAccepted;
+            boolean confirmed = !request.earlierAttempts.mayCauseStartFrom(endpoint);
+            request.startConfirmed |= confirmed;
+            return confirmed || request.attemptAccepted ? Attribution.ATTEMPT_IN_FLIGHT : Attribution.EARLIER_ATTEMPT;
         }
+        return status == ProxyEvent.JobStatus.RETURNED && request.startConfirmed
+                ? Attribution.EARLIER_ATTEMPT
+                : Attribution.UNKNOWN_ATTEMPT;
+    }
+
+    /**
+     * Asks the endpoint to cancel the attempt in flight, of which it is unknown whether it has ended: another attempt
+     * must not run concurrently with it. It ends once the cancellation is confirmed.
+     */
+    private void cancelOnce(ActiveRequest request) {
         if (!request.cancelRequested) {
             request.cancelRequested = true;
             transport.cancelAndReportEnd(request.inFlightAttempt, request.attemptAccepted);
         }
-        return true;
+    }
+
+    /**
+     * Returns the outcome of the attempt in flight, which the transport reports to have ended. A confirmed cancellation
+     * that a status event caused says nothing about how long the endpoint takes to accept requests.
+     */
+    AttemptOutcome outcomeOf(ActiveRequest request, AttemptOutcome reported) {
+        return request.cancelRequested && reported == AttemptOutcome.ACCEPT_TIMEOUT
+                ? AttemptOutcome.CANCELLED
+                : reported;
     }
 }
--- a/src/main/java/olivechute/proxy/RequestDispatcher.java
+++ b/src/main/java/olivechute/proxy/RequestDispatcher.java
@@ -166,7 +166,7 @@
         } else if (event instanceof ProxyEvent.AttemptEnded e) {
             ActiveRequest request = requestsById.get(e.requestId());
             if (request != null && request.isInFlight(e.attemptNumber())) {
-                endAttempt(request, e.outcome(), e.loadReport());
+                endAttempt(request, jobStatusHandler.outcomeOf(request, e.outcome()), e.loadReport());
             }
         } else if (event instanceof ProxyEvent.ListUpdated e) {
             ListUpdateKind kind = e.update().complete() ? ListUpdateKind.FULL : ListUpdateKind.DELTA;
@@ -289,8 +289,8 @@
         if (outcome == AttemptOutcome.SUPPRESSED) {
             request.suppressedAttempts++;
             endIfClientDisconnected(request);
-        } else if (outcome != AttemptOutcome.CONNECT_FAILED && !request.answered) {
-            request.recordPossiblyReached(attempt.endpoint(), outcome);
+        } else if (!request.answered) {
+            request.earlierAttempts.add(attempt.endpoint(), outcome);
         }
         attemptTracker.reportEndToHealth(request, attempt, outcome, nowUs);
         loadBalancer.onAttemptEnd(
