--- a/src/main/java/olivechute/downstream/ConnectionReader.java
+++ b/src/main/java/olivechute/downstream/ConnectionReader.java
@@ -7,6 +7,10 @@
 import olivechute.http.HttpException;
 import olivechute.http.MessageWriter;
 import olivechute.http.RequestParser;
+import olivechute.memory.MemoryBudget;
+import olivechute.memory.MemoryBudget.Tier;
+import olivechute.memory.MemoryExhaustedException;
+import olivechute.memory.TieredAllowance;
 import olivechute.net.Connection;
 import org.tinylog.Logger;
 
@@ -19,7 +23,13 @@
     /** Limit of the input after the last message; at this limit the connection is closed. */
     private static final int MAX_DISCARD_BYTES = 64 * 1024 * 1024;
 
-    private static final int DISCARD_BUFFER_BYTES = 8 * 1024;
+    /** Where all readers put what they discard; its content is never read. */
+    private static final byte[] DISCARDED_BYTES = new byte[8 * 1024];
+
+    /** How long a message waits for memory that other peers hold. */
+    private static final long MAX_MEMORY_WAIT_MS = 500;
+    /** How often a reader checks whether an overdue message was abandoned. */
+    private static final int ABANDONED_POLL_MS = 100;
     /**
      * How often a client with waiting pipelined requests is checked, in microseconds: well within the 0.1 s after which
      * a client that disconnected counts as gone.
@@ -29,43 +39,106 @@
     private final DownstreamConnection connection;
     private final Connection transport;
     private final PeerIdentity.Authenticator authenticator;
-    private final RequestParser parser = new RequestParser();
+    private final TieredAllowance memory;
+    private final RequestParser parser;
 
     ConnectionReader(DownstreamConnection connection, Connection transport, PeerIdentity.Authenticator authenticator) {
         this.connection = connection;
         this.transport = transport;
         this.authenticator = authenticator;
+        this.memory = new TieredAllowance(connection.server.memory, this::memoryTier, MAX_MEMORY_WAIT_MS);
+        this.parser = new RequestParser(memory);
+        transport.limitMemory(memory);
+    }
+
+    /** Who the memory for the message that is being received is reserved for. */
+    private MemoryBudget.Tier memoryTier() {
+        if (connection.isKnownPeer()) {
+            return connection.isKnownEndpoint() ? Tier.KNOWN_ENDPOINT : Tier.KNOWN_PEER;
+        }
+        boolean inHandshake = connection.peerIdentity() == null;
+        return inHandshake || parser.isReceiving(DownstreamServer.JOB_STATUS_PATH) ? Tier.NEW_ENDPOINT : Tier.NEW_PEER;
     }
 
     /** Reads until the connection ends. */
     @Override
     public void run() {
         try {
-            transport.initialize();
-            connection.peerIdentity(authenticator.authenticate(transport));
-            for (int read = transport.read(parser.inputBuffer());
-                    read >= 0;
-                    read = transport.read(parser.inputBuffer())) {
-                parser.onBytesRead(read);
-                if (!processInput()) {
-                    discardInput();
-                    onInputDiscarded();
-                    return;
-                }
-            }
-            onInputEnd();
+            readMessages();
         } catch (EOFException e) {
             onInputEnd();
+        } catch (MemoryExhaustedException e) {
+            rejectForLackOfMemory();
         } catch (IOException | InterruptedException e) {
             Logger.debug(e.getMessage());
             connection.close(CloseReason.READ_FAILED);
         } catch (HttpException e) {
-            rejectMalformed(e);
-            connection.close(CloseReason.AFTER_LAST_ANSWER);
+            if (e.status == HttpException.MEMORY_EXHAUSTED_STATUS) {
+                rejectForLackOfMemory();
+            } else {
+                rejectMessage(DownstreamServer.textResponse(e.status, e.getMessage(), false));
+            }
         } catch (RuntimeException | Error e) {
             connection.close(CloseReason.READER_FAILED);
             throw e;
+        } finally {
+            dropInput();
+        }
+    }
+
+    private void readMessages() throws IOException, HttpException, InterruptedException {
+        transport.initialize();
+        connection.peerIdentity(authenticator.authenticate(transport));
+        for (int read = readInput(); read >= 0; read = readInput()) {
+            if (read == 0) {
+                if (isFinished()) {
+                    discardInput();
+                    onInputDiscarded();
+                    return;
+                }
+                continue;
+            }
+            parser.onBytesRead(read);
+            if (!processInput()) {
+                discardInput();
+                onInputDiscarded();
+                return;
+            }
+        }
+        onInputEnd();
+    }
+
+    /**
+     * Reads bytes; 0 if a message is incomplete and none have arrived for a while. A blocked read keeps the buffers of
+     * the message alive, so the reader looks up when the message may have been abandoned.
+     */
+    private int readInput() throws IOException, HttpException {
+        ByteBuffer buffer = parser.inputBuffer();
+        if (!parser.holdsReservedMemory() || !parser.isInMessage() || transport.hasUnreadInput()) {
+            return transport.read(buffer);
         }
+        return transport.readWithin(buffer, millisUntilMessageOverdue());
+    }
+
+    private int millisUntilMessageOverdue() {
+        long overdueAtUs;
+        synchronized (connection) {
+            overdueAtUs = connection.state.messageStartUs() + ConnectionState.MESSAGE_TIMEOUT_US;
+        }
+        long remainingMillis = (overdueAtUs - connection.server.loop.now()) / 1000;
+        return (int) Math.max(ABANDONED_POLL_MS, Math.min(remainingMillis, ConnectionState.MESSAGE_TIMEOUT_US / 1000));
+    }
+
+    private boolean isFinished() {
+        synchronized (connection) {
+            return !connection.state.isOpen();
+        }
+    }
+
+    /** Drops all buffers of the input and releases their memory; nothing is parsed afterwards. */
+    private void dropInput() {
+        parser.discard();
+        transport.discardReceived();
     }
 
     /**
@@ -174,10 +247,9 @@
             connection.markBusy();
         }
         connection.server.markRetained(connection);
-        DownstreamServer.ImmediateResponse response = connection.server.route(parser.take(), connection);
+        DownstreamServer.ImmediateResponse response = connection.server.route(parser.take(), parser, connection);
         if (response == null) {
-            parser.releaseMessage(false); // the body now belongs to the stream
-            return true;
+            return true; // the body now belongs to the stream
         }
         parser.releaseMessage(true);
         transport.write(ByteBuffer.wrap(response.bytes()));
@@ -197,7 +269,8 @@
      * as the next request of a client that has disconnected must not be accepted. Takes the time of the previous check;
      * returns the time of the last one, or a negative number if no further message is to be accepted.
      */
-    private long awaitPreviousResponse(long previousPeerCheckUs) throws IOException, InterruptedException {
+    private long awaitPreviousResponse(long previousPeerCheckUs)
+            throws HttpException, IOException, InterruptedException {
         long lastPeerCheckUs = previousPeerCheckUs;
         for (long nowUs = previousPeerCheckUs; ; nowUs = connection.server.loop.now()) {
             synchronized (connection) {
@@ -222,15 +295,20 @@
         }
     }
 
-    /** Reads the bytes that have arrived meanwhile; false if there are more of them than are buffered. */
-    private boolean readAhead() throws IOException {
+    /** Reads the bytes that have arrived meanwhile; false if there are more of them than may be buffered. */
+    private boolean readAhead() throws IOException, HttpException {
         int read;
         do {
             if (parser.unparsedBytes() >= RequestParser.MAX_READ_AHEAD_BYTES) {
                 onReadAheadExceeded();
                 return false;
             }
-            read = transport.readAvailable(parser.inputBuffer());
+            ByteBuffer buffer = bufferForReadAhead();
+            if (buffer == null) {
+                onReadAheadExceeded();
+                return false;
+            }
+            read = transport.readAvailable(buffer);
             if (read < 0) {
                 if (connection.isEndRequested()) {
                     return true;
@@ -242,6 +320,24 @@
         return true;
     }
 
+    /**
+     * The buffer to read ahead into, or null if there is no memory for it. Does not wait, as the client has to be
+     * checked meanwhile.
+     */
+    private ByteBuffer bufferForReadAhead() throws HttpException {
+        memory.setMayWait(false);
+        try {
+            return parser.inputBuffer();
+        } catch (HttpException e) {
+            if (e.status == HttpException.MEMORY_EXHAUSTED_STATUS) {
+                return null;
+            }
+            throw e;
+        } finally {
+            memory.setMayWait(true);
+        }
+    }
+
     /** Makes the response in progress the last one; if no response is in progress, ends the output now. */
     private void onReadAheadExceeded() throws IOException {
         synchronized (connection) {
@@ -255,29 +351,37 @@
 
     /** Discards input up to the end of the connection, or up to a limit after which the connection is closed. */
     private void discardInput() throws IOException {
-        ByteBuffer buffer = ByteBuffer.allocate(DISCARD_BUFFER_BYTES);
+        dropInput();
+        ByteBuffer buffer = ByteBuffer.wrap(DISCARDED_BYTES);
         int read = 0;
         for (int discarded = 0; read >= 0 && discarded < MAX_DISCARD_BYTES; discarded += read) {
-            read = transport.read(buffer.clear());
+            read = transport.readDiscarded(buffer.clear());
         }
     }
 
-    /** Answers input that is not valid HTTP, unless the message was abandoned meanwhile. */
-    private void rejectMalformed(HttpException protocolError) {
+    /** Rejects the message in progress, for which no memory is available; its client may try again. */
+    private void rejectForLackOfMemory() {
+        Logger.debug("message rejected: no memory, {} bytes reserved", connection.server.memory.reservedBytes());
+        rejectMessage(HttpClientStream.rejection(connection.server.memoryRetryAfterUs(), false));
+    }
+
+    /** Answers a message that cannot be processed, unless it was abandoned meanwhile, and ends the connection. */
+    private void rejectMessage(byte[] response) {
+        dropInput();
         try {
             boolean finishedHere;
             synchronized (connection) {
                 finishedHere = connection.beginFinish();
             }
             if (finishedHere) {
-                transport.write(ByteBuffer.wrap(
-                        DownstreamServer.textResponse(protocolError.status, protocolError.getMessage(), false)));
+                transport.write(ByteBuffer.wrap(response));
                 transport.shutdownOutput();
             }
             discardInput();
         } catch (IOException e) {
             Logger.debug(e.getMessage());
         }
+        connection.close(CloseReason.AFTER_LAST_ANSWER);
     }
 
     /**
--- a/src/main/java/olivechute/downstream/DownstreamConnection.java
+++ b/src/main/java/olivechute/downstream/DownstreamConnection.java
@@ -34,6 +34,7 @@
     private HttpClientStream respondingStream; // the stream whose response is being written, or null
     private Runnable pendingWrite; // a response that found no writer thread
     private boolean sendsJobStatus; // a job status event has arrived on this connection
+    private volatile boolean knownPeer; // a valid message has arrived on this connection
     boolean pipelined; // the client has sent a request before the previous response
     volatile boolean nextResponseIsLast; // the connection ends after the next response
     private long responseBytes; // sent in all responses so far
@@ -61,7 +62,7 @@
     void start() {
         try {
             server.connectionThreads.run(reader);
-        } catch (OutOfMemoryError e) { // no thread available
+        } catch (OutOfMemoryError e) { // no thread available, or no memory
             close(CloseReason.NO_THREAD);
             throw e;
         }
@@ -122,6 +123,20 @@
     /** A job status event arrived on this connection; called by the reader's thread. */
     synchronized void onJobStatusReceived() {
         sendsJobStatus = true;
+        knownPeer = true;
+    }
+
+    /** A valid request arrived on this connection; called by the reader's thread. */
+    void onRequestReceived() {
+        knownPeer = true;
+    }
+
+    boolean isKnownPeer() {
+        return knownPeer;
+    }
+
+    synchronized boolean isKnownEndpoint() {
+        return sendsJobStatus;
     }
 
     /** A stream is opened on this connection; called by the reader's thread. False if the connection has ended. */
@@ -148,6 +163,7 @@
             }
             respondingStream = stream;
             stream = null;
+            respondingStream.reserveResponse(body.remaining());
             responseBytes += head.remaining() + body.remaining();
             // A client that sends its next request only after the last response does read; a client that pipelines may
             // not.
@@ -350,7 +366,6 @@
             }
             notifyAll();
         }
-        logClose(reason, unansweredStream);
         release();
         if (unansweredStream != null) {
             unansweredStream.clientDisconnected();
@@ -358,6 +373,7 @@
         if (unwrittenStream != null) {
             unwrittenStream.onResponseDone();
         }
+        logClose(reason, unansweredStream);
     }
 
     private void logClose(CloseReason reason, HttpClientStream unansweredStream) {
@@ -372,11 +388,12 @@
 
     private void release() {
         server.idleConnections.remove(idleEntry);
-        server.onConnectionClosed(this);
         try {
             transport.close();
         } catch (IOException e) {
             Logger.debug(e.getMessage());
+        } finally {
+            server.onConnectionClosed(this);
         }
     }
 }
--- a/src/main/java/olivechute/downstream/DownstreamServer.java
+++ b/src/main/java/olivechute/downstream/DownstreamServer.java
@@ -16,8 +16,12 @@
 import olivechute.http.Body;
 import olivechute.http.HttpRequest;
 import olivechute.http.MessageWriter;
+import olivechute.http.RequestParser;
 import olivechute.loadbalancing.LoadBalancerSettings;
 import olivechute.loadbalancing.Request;
+import olivechute.memory.FailureLog;
+import olivechute.memory.MemoryBudget;
+import olivechute.memory.MemoryReservation;
 import olivechute.net.ConnectionThreads;
 import olivechute.net.Threads;
 import olivechute.net.WriterThreads;
@@ -33,15 +37,22 @@
  * connection has a thread that reads.
  */
 public final class DownstreamServer {
-    private static final int ACCEPT_BACKLOG = 1024;
     private static final long IDLE_TIMEOUT_US = 120_000_000;
     private static final long NEW_CONNECTION_GRACE_US = 500_000;
     private static final int MAX_SHED_TRIES = 16;
-    private static final long BIND_RETRY_NANOS = 3_000_000_000L;
+    /** Bodies larger than this are decoded one at a time, as decoding takes several times their size. */
+    private static final int LARGE_JOB_STATUS_BYTES = 4 * 1024;
+    /** Retry-After of a message for which there was no memory, in microseconds; see {@link #memoryRetryAfterUs}. */
+    private static final long MEMORY_RETRY_AFTER_US = ConnectionState.MESSAGE_TIMEOUT_US / 2;
+
+    static final String JOB_STATUS_PATH = "/_jobs/news";
 
     final EventLoop loop;
     final WriterThreads writers;
     final ConnectionThreads connectionThreads;
+    final MemoryBudget memory;
+    private final long maxRetryAfterUs;
+    private final Object largeJobStatusLock = new Object();
     private final ConnectionLimit connectionLimit;
     private final JobStatusDecoder jobStatusDecoder;
     private final RequestDecoder requestDecoder;
@@ -62,9 +73,20 @@
     private volatile boolean draining;
     private volatile long lastRequestAtUs;
 
+    /** Creates a server without listeners whose peers may make it hold any amount of memory. */
+    public DownstreamServer(
+            EventLoop loop,
+            WriterThreads writers,
+            ConnectionThreads connectionThreads,
+            LoadBalancerSettings settings,
+            LoadReportFields loadReportFields,
+            int maxConnections) {
+        this(loop, writers, connectionThreads, settings, loadReportFields, maxConnections, MemoryBudget.unlimited());
+    }
+
     /**
      * Creates a server without listeners. {@code connectionThreads} runs the readers; {@code maxConnections} limits
-     * their number.
+     * their number, and {@code memory} what all peers together may make the server hold.
      */
     public DownstreamServer(
             EventLoop loop,
@@ -72,13 +94,16 @@
             ConnectionThreads connectionThreads,
             LoadBalancerSettings settings,
             LoadReportFields loadReportFields,
-            int maxConnections) {
+            int maxConnections,
+            MemoryBudget memory) {
         this.loop = loop;
         this.writers = writers;
         this.connectionThreads = connectionThreads;
         this.connectionLimit = new ConnectionLimit(maxConnections);
         this.jobStatusDecoder = new JobStatusDecoder(loadReportFields);
         this.requestDecoder = new RequestDecoder(settings);
+        this.memory = memory;
+        this.maxRetryAfterUs = settings.limits().maxRetryAfterUs();
     }
 
     /**
@@ -87,37 +112,12 @@
      */
     public InetSocketAddress listen(InetSocketAddress address, PeerIdentity.Authenticator authenticator)
             throws IOException {
-        ServerSocketChannel listener = bind(address);
+        ServerSocketChannel listener = ListenerSockets.bind(address);
         listeners.add(listener);
         acceptors.add(Threads.start("accept", () -> accept(listener, authenticator)));
         return (InetSocketAddress) listener.socket().getLocalSocketAddress();
     }
 
-    /**
-     * Retries for a while, as the address may still belong to an earlier process and the system may lack sockets, both
-     * only briefly.
-     */
-    private static ServerSocketChannel bind(InetSocketAddress address) throws IOException {
-        long deadlineNanos = System.nanoTime() + BIND_RETRY_NANOS;
-        for (; ; ) {
-            try {
-                ServerSocketChannel listener = ServerSocketChannel.open();
-                try {
-                    return listener.bind(address, ACCEPT_BACKLOG);
-                } catch (IOException e) {
-                    listener.close();
-                    throw e;
-                }
-            } catch (IOException e) {
-                if (System.nanoTime() - deadlineNanos >= 0) {
-                    throw e;
-                }
-                Logger.warn("listen on {}: {}; retrying", address, e.getMessage());
-            }
-            pauseBeforeRetry();
-        }
-    }
-
     /** Marks the node as ready, once it listens on all its addresses. */
     public void ready() {
         ready = true;
@@ -175,6 +175,14 @@
         }
     }
 
+    /**
+     * The Retry-After of a message for which there was no memory: the memory of incomplete messages is free again once
+     * they run into their timeout, on average after half of it.
+     */
+    long memoryRetryAfterUs() {
+        return Math.min(maxRetryAfterUs, MEMORY_RETRY_AFTER_US);
+    }
+
     /** When the last request arrived, in microseconds on the event loop's clock. */
     public long lastRequestAtUs() {
         return lastRequestAtUs;
@@ -186,41 +194,64 @@
     }
 
     private void accept(ServerSocketChannel listener, PeerIdentity.Authenticator authenticator) {
-        while (listener.isOpen()) {
-            SocketChannel accepted = null;
+        while (listener.isOpen() && !Thread.currentThread().isInterrupted()) {
             try {
-                accepted = listener.accept();
-                while (retainedCount.get() >= connectionLimit.limitAt(loop.now()) && !shedConnection()) {
-                    // All are in use; open streams are limited to half the connections, so the others are free again
-                    // soon.
-                    Thread.sleep(10);
-                }
-                DownstreamConnection connection =
-                        new DownstreamConnection(this, authenticator.createTransport(accepted), authenticator);
-                connections.add(connection);
-                retainedCount.incrementAndGet();
-                connection.start();
-                if (connectionLimit.beginCheckIfDue(retainedCount.get())
-                        && !connectionThreads.canStart(ConnectionLimit.CHECK_THREADS)) {
-                    onThreadShortage("thread check failed");
-                }
-            } catch (ClosedChannelException e) {
-                closeQuietly(accepted);
-            } catch (InterruptedException e) {
-                closeQuietly(accepted);
-                return;
-            } catch (OutOfMemoryError e) {
-                closeQuietly(accepted);
-                onThreadShortage(e.getMessage());
-                pauseBeforeRetry();
-            } catch (IOException | RuntimeException | Error e) {
-                // Whatever the error is, the node continues to listen.
-                Logger.warn("accept: {}", e.toString());
-                closeQuietly(accepted);
-                if (AcceptFailures.isResourceExhaustion(e)) {
-                    shedConnection();
-                }
-                pauseBeforeRetry();
+                acceptConnection(listener, authenticator);
+            } catch (RuntimeException | Error e) {
+                // Without this thread no client could connect any more; also the handling of an error may have failed.
+                FailureLog.log(e, "accept failed, continuing");
+                ListenerSockets.pauseBeforeRetry();
+            }
+        }
+    }
+
+    private void acceptConnection(ServerSocketChannel listener, PeerIdentity.Authenticator authenticator) {
+        SocketChannel accepted = null;
+        try {
+            accepted = listener.accept();
+            while (retainedCount.get() >= connectionLimit.limitAt(loop.now()) && !shedConnection()) {
+                // All are in use; open streams are limited to half the connections, so the others are free again
+                // soon.
+                Thread.sleep(10);
+            }
+            DownstreamConnection connection =
+                    new DownstreamConnection(this, authenticator.createTransport(accepted), authenticator);
+            start(connection);
+            if (connectionLimit.beginCheckIfDue(retainedCount.get())
+                    && !connectionThreads.canStart(ConnectionLimit.CHECK_THREADS)) {
+                onThreadShortage("thread check failed");
+            }
+        } catch (ClosedChannelException e) {
+            closeQuietly(accepted);
+        } catch (InterruptedException e) {
+            closeQuietly(accepted);
+            Thread.currentThread().interrupt();
+        } catch (OutOfMemoryError e) {
+            closeQuietly(accepted);
+            onThreadShortage(e.getMessage());
+            ListenerSockets.pauseBeforeRetry();
+        } catch (IOException | RuntimeException | Error e) {
+            // Whatever the error is, the node continues to listen.
+            Logger.warn("accept: {}", e.toString());
+            closeQuietly(accepted);
+            if (AcceptFailures.isResourceExhaustion(e)) {
+                shedConnection();
+            }
+            ListenerSockets.pauseBeforeRetry();
+        }
+    }
+
+    /** Registers and starts a connection; whatever fails, it is closed and does not count any more. */
+    private void start(DownstreamConnection connection) {
+        boolean started = false;
+        retainedCount.incrementAndGet();
+        try {
+            connections.add(connection);
+            connection.start();
+            started = true;
+        } finally {
+            if (!started) {
+                connection.close(CloseReason.NO_THREAD);
             }
         }
     }
@@ -254,14 +285,6 @@
         }
     }
 
-    private static void pauseBeforeRetry() {
-        try {
-            Thread.sleep(20);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /**
      * Closes the connection that is first in the order of {@link IdleConnections}; false if none of the first few can
      * be closed.
@@ -333,9 +356,11 @@
     }
 
     /**
-     * Opens a stream for a message, or returns the response to write at once; null if a stream takes over the response.
+     * Opens a stream for a message, or returns the response to write at once; null if a stream takes over the response,
+     * and with it the memory of the message from the parser.
      */
-    ImmediateResponse route(HttpRequest message, DownstreamConnection connection) throws IdentityExpiredException {
+    ImmediateResponse route(HttpRequest message, RequestParser parser, DownstreamConnection connection)
+            throws IdentityExpiredException {
         boolean keepAlive = message.keepAlive() && allowsKeepAlive();
         try {
             return switch (message.path()) {
@@ -344,11 +369,14 @@
                     yield new ImmediateResponse(
                             MessageWriter.response(ready ? 200 : 503, new byte[0], keepAlive), keepAlive);
                 }
-                case "/_jobs/news" -> {
+                case JOB_STATUS_PATH -> {
                     LocalReply.requireMethod(message, "POST");
-                    yield receiveJobStatus(jobStatusDecoder.decode(message.content()), connection, keepAlive);
+                    yield receiveJobStatus(decodeJobStatus(message.content()), connection, keepAlive);
+                }
+                default -> {
+                    open(message, parser, connection);
+                    yield null;
                 }
-                default -> open(message, connection);
             };
         } catch (LocalReply e) {
             // Errors close the connection: otherwise clients that send bad requests could by the hundred use up the
@@ -362,6 +390,15 @@
         }
     }
 
+    private ProxyEvent.JobStatusReceived decodeJobStatus(Body body) throws IOException {
+        if (body.length() <= LARGE_JOB_STATUS_BYTES) {
+            return jobStatusDecoder.decode(body);
+        }
+        synchronized (largeJobStatusLock) {
+            return jobStatusDecoder.decode(body);
+        }
+    }
+
     /**
      * Accepts a job status event from a peer that may send it. If the connection's identity has expired there is no
      * response, so that the sender tries again with its new identity; another sender is rejected.
@@ -375,8 +412,8 @@
         if (!connection.peerIdentity().mayReportJobStatus(jobStatus.endpoint())) {
             throw new LocalReply(403, "news: not of a host that this identity may be");
         }
-        loop.post(jobStatus);
         connection.onJobStatusReceived();
+        loop.post(jobStatus.withMemory(reserveResult(jobStatus.result())));
         return keepAlive ? JOB_STATUS_ACCEPTED : new ImmediateResponse(MessageWriter.response(204, null, false), false);
     }
 
@@ -389,7 +426,16 @@
         }
     }
 
-    private ImmediateResponse open(HttpRequest message, DownstreamConnection connection) throws LocalReply {
+    /** The memory of a result, which takes the place of the memory that was reserved for its message. */
+    private MemoryReservation reserveResult(byte[] result) {
+        if (result == null || result.length <= RequestParser.INITIAL_BUFFER_BYTES) {
+            return MemoryReservation.NONE;
+        }
+        memory.add(result.length);
+        return MemoryReservation.of(memory::release, result.length);
+    }
+
+    private void open(HttpRequest message, RequestParser parser, DownstreamConnection connection) throws LocalReply {
         Request request = requestDecoder.decode(message);
         PeerIdentity.Rejection rejection = connection.peerIdentity().checkRequest(message, request.tenant());
         if (rejection != null) {
@@ -400,10 +446,11 @@
         HttpClientStream stream = new HttpClientStream(connection, request.id(), message.keepAlive(), openStreams);
         if (!connection.openStream(stream)) {
             openStreams.decrementAndGet();
-            return null;
+            return;
         }
-        loop.post(requestArrived(message, request, stream, lastRequestAtUs));
-        return null;
+        connection.onRequestReceived();
+        ProxyEvent.RequestArrived arrival = requestArrived(message, request, stream, lastRequestAtUs);
+        loop.post(arrival.withMemory(parser.releaseMessage(false)));
     }
 
     /** The event of a request whose last byte arrived at {@code receivedAtUs}. */
--- a/src/main/java/olivechute/downstream/HttpClientStream.java
+++ b/src/main/java/olivechute/downstream/HttpClientStream.java
@@ -4,6 +4,8 @@
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
 import olivechute.http.MessageWriter;
+import olivechute.http.RequestParser;
+import olivechute.memory.MemoryReservation;
 import olivechute.proxy.ClientStream;
 import olivechute.proxy.ProxyEvent;
 
@@ -19,6 +21,7 @@
     private final boolean keepAlive; // whether the client allows it
     private final AtomicInteger openStreams;
     private volatile boolean clientDisconnected;
+    private volatile MemoryReservation responseMemory = MemoryReservation.NONE;
 
     HttpClientStream(DownstreamConnection connection, String requestId, boolean keepAlive, AtomicInteger openStreams) {
         this.connection = connection;
@@ -61,9 +64,18 @@
         connection.sendResponse(head, body, keepOpen);
     }
 
+    /** Reserves memory for the body of the response, which is held until it is written. */
+    void reserveResponse(int bodyBytes) {
+        if (bodyBytes > RequestParser.INITIAL_BUFFER_BYTES) {
+            connection.server.memory.add(bodyBytes);
+            responseMemory = MemoryReservation.of(connection.server.memory::release, bodyBytes);
+        }
+    }
+
     /** The response is sent, or cannot be: the stream no longer counts as open. */
     void onResponseDone() {
         openStreams.decrementAndGet();
+        responseMemory.release();
     }
 
     @Override
--- a/src/main/java/olivechute/downstream/RequestDecoder.java
+++ b/src/main/java/olivechute/downstream/RequestDecoder.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import olivechute.http.HttpRequest;
 import olivechute.loadbalancing.Idempotency;
 import olivechute.loadbalancing.LoadBalancerSettings;
@@ -16,6 +17,8 @@
     private static final int MAX_REMAINING_DIGITS = 12;
     private static final double MAX_LABEL_VALUE = 1_000_000; // of cost in seconds, slots and memory
 
+    private static final Set<String> USED_LABELS = Set.of("cost", "slots", "memory");
+
     private final List<RequestClass> classes;
 
     RequestDecoder(LoadBalancerSettings settings) {
@@ -150,19 +153,38 @@
         return value;
     }
 
+    /** The labels that are used. All are checked, but only one at a time is held, as a head may have thousands. */
     private static Map<String, Double> parseLabels(String text) throws LocalReply {
         if (text == null || text.isBlank()) {
             return Map.of();
         }
         Map<String, Double> labels = new HashMap<>();
+        int end = text.length();
+        while (end > 0 && text.charAt(end - 1) == ',') {
+            end--;
+        }
+        for (int start = 0; start < end; ) {
+            int comma = text.indexOf(',', start);
+            int pairEnd = comma < 0 ? end : Math.min(comma, end);
+            parseLabel(text.substring(start, pairEnd).strip(), labels);
+            start = pairEnd + 1;
+        }
+        return labels;
+    }
+
+    private static void parseLabel(String pair, Map<String, Double> labels) throws LocalReply {
+        int separator = pair.indexOf('=');
+        if (separator < 0) {
+            throw new LocalReply(400, "X-Labels: must be name=number pairs");
+        }
         try {
-            for (String pair : text.split(",")) {
-                String[] nameAndValue = pair.strip().split("=", 2);
-                labels.put(nameAndValue[0], Double.parseDouble(nameAndValue[1]));
+            String name = pair.substring(0, separator);
+            double value = Double.parseDouble(pair.substring(separator + 1));
+            if (USED_LABELS.contains(name)) {
+                labels.put(name, value);
             }
-        } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
+        } catch (NumberFormatException e) {
             throw new LocalReply(400, "X-Labels: must be name=number pairs");
         }
-        return labels;
     }
 }
--- a/src/main/java/olivechute/http/HttpException.java
+++ b/src/main/java/olivechute/http/HttpException.java
@@ -4,6 +4,9 @@
 public final class HttpException extends Exception {
     private static final long serialVersionUID = 1L;
 
+    /** The status of the response if there is no memory to receive the message. */
+    public static final int MEMORY_EXHAUSTED_STATUS = 503;
+
     public final int status;
 
     HttpException(int status, String text) {
--- a/src/main/java/olivechute/http/MessageParser.java
+++ b/src/main/java/olivechute/http/MessageParser.java
@@ -1,16 +1,18 @@
 package olivechute.http;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import olivechute.memory.MemoryAllowance;
+import olivechute.memory.MemoryReservation;
 
 /**
  * An incremental parser of HTTP/1.1 messages: a state machine without a socket. The caller reads into
  * {@link #inputBuffer}, reports the number of bytes with {@link #onBytesRead}, and gets a message that {@link #parse}
  * completed from {@link #take}; the bytes that follow it are kept for the next message. Bytes stay where they were
  * read: headers are stored as positions, and a body is received once at its final place and not written to again. Only
- * {@link #releaseMessage} allows a message's bytes to be reused, and only the caller knows when nobody needs them. Not
- * thread-safe.
+ * {@link #releaseMessage} allows a message's bytes to be reused, and only the caller knows when nobody needs them. All
+ * memory beyond a buffer of {@value #INITIAL_BUFFER_BYTES} bytes is reserved from a {@link MemoryAllowance} before it
+ * is allocated. Not thread-safe.
  */
 @SuppressWarnings("ByteBufferBackingArray") // the connections allocate the buffers on the heap
 public abstract class MessageParser<M> {
@@ -19,22 +21,11 @@
     /** Bytes that may be buffered behind a message that is still being processed: the maximum size of one message. */
     public static final int MAX_READ_AHEAD_BYTES = MAX_HEAD_BYTES + MAX_BODY_BYTES;
     /** Initial size of the buffer, enough for an ordinary message; longer ones are read in pieces. */
-    private static final int INITIAL_BUFFER_BYTES = 2048;
+    public static final int INITIAL_BUFFER_BYTES = 2048;
 
     private static final int MAX_READ_BYTES = 8192; // of one read into a body
     private static final int MAX_CHUNK_LINE_BYTES = 256;
     private static final int MAX_FIELDS = 100;
-    private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
-    private static final boolean[] IS_TOKEN_CHAR = new boolean[128];
-
-    static {
-        for (char c = 0; c < IS_TOKEN_CHAR.length; c++) {
-            IS_TOKEN_CHAR[c] = (c >= '0' && c <= '9')
-                    || (c >= 'a' && c <= 'z')
-                    || (c >= 'A' && c <= 'Z')
-                    || TOKEN_PUNCTUATION.indexOf(c) >= 0;
-        }
-    }
 
     private enum State {
         START,
@@ -49,6 +40,11 @@
     }
 
     private final int maxBodyBytes;
+    private final boolean keepsBodies;
+    private final MemoryAllowance memory;
+    private int bufferReservation; // bytes reserved for buffer
+    private int bodyReservation; // bytes reserved for body
+    private int takenReservation; // bytes reserved for the message taken last
     private byte[] buffer; // received for the current message, and what may follow it
     private ByteBuffer bufferView; // of buffer, to read into
     private int position; // of the next byte to parse
@@ -72,12 +68,17 @@
 
     /** For messages with a body of at most {@link #MAX_BODY_BYTES}, like requests and most of their responses. */
     MessageParser() {
-        this(MAX_BODY_BYTES);
+        this(MAX_BODY_BYTES, true, MemoryAllowance.UNLIMITED);
     }
 
-    /** For messages with a body of at most {@code maxBodyBytes}. */
-    MessageParser(int maxBodyBytes) {
+    /**
+     * For messages with a body of at most {@code maxBodyBytes}. Without {@code keepsBodies} bodies are read and
+     * discarded, and messages have none.
+     */
+    MessageParser(int maxBodyBytes, boolean keepsBodies, MemoryAllowance memory) {
         this.maxBodyBytes = maxBodyBytes;
+        this.keepsBodies = keepsBodies;
+        this.memory = memory;
     }
 
     /** Parses the start line in this range. */
@@ -91,8 +92,11 @@
 
     abstract M createMessage(Headers fields, Body content, boolean keepAlive);
 
-    /** The buffer to read the next bytes into, with room for at least one. */
-    public final ByteBuffer inputBuffer() {
+    /**
+     * The buffer to read the next bytes into, with room for at least one. Throws an exception with status 503 if the
+     * memory for it is not available.
+     */
+    public final ByteBuffer inputBuffer() throws HttpException {
         if (bodyView != null) {
             return bodyView.limit(Math.min(body.length, bodySize + MAX_READ_BYTES))
                     .position(bodySize);
@@ -110,23 +114,31 @@
     }
 
     /**
-     * Discards the parsed part of a chunked or close-delimited body; if there is none, copies everything to a larger
-     * array. The head stays at its position.
+     * Discards the parsed part of a chunked, close-delimited or discarded body; if there is none, copies everything to
+     * a larger array. The head stays at its position.
      */
-    private void ensureSpace() {
+    private void ensureSpace() throws HttpException {
         int keptEnd = headEnd == 0 ? dataEnd : headEnd;
-        int unparsedStart =
-                headEnd == 0 ? dataEnd : state == State.CHUNK || state == State.UNTIL_CLOSE ? position : lineStart;
+        boolean inBody = state == State.CHUNK || state == State.UNTIL_CLOSE || (state == State.BODY && !keepsBodies);
+        int unparsedStart = headEnd == 0 ? dataEnd : inBody ? position : lineStart;
         System.arraycopy(buffer, unparsedStart, buffer, keptEnd, dataEnd - unparsedStart);
         position -= unparsedStart - keptEnd;
         lineStart -= unparsedStart - keptEnd;
         dataEnd -= unparsedStart - keptEnd;
         if (dataEnd == buffer.length) {
+            reserve(dataEnd);
+            bufferReservation += dataEnd;
             buffer = Arrays.copyOf(buffer, 2 * dataEnd);
             headers.setBuffer(buffer);
         }
     }
 
+    private void reserve(int bytes) throws HttpException {
+        if (!memory.tryReserve(bytes)) {
+            throw new HttpException(HttpException.MEMORY_EXHAUSTED_STATUS, "no memory for the message");
+        }
+    }
+
     /** Reports that {@code count} bytes were read into {@link #inputBuffer}. */
     public final void onBytesRead(int count) {
         if (bodyView != null) {
@@ -218,18 +230,22 @@
         boolean keepAlive = !headers.containsToken("Connection", "close")
                 && (!isHttp10 || headers.containsToken("Connection", "keep-alive"))
                 && !closeDelimited;
-        Body content = bodySize == 0
+        Body content = bodySize == 0 || !keepsBodies
                 ? Body.NONE
                 : body == null ? new Body(buffer, bodyOffset, bodySize) : new Body(body, 0, bodySize);
         M message = createMessage(headers, content, keepAlive);
-        byte[] messageBuffer = buffer;
+        takenBuffer = buffer;
+        memory.release(takenReservation);
+        takenReservation = bufferReservation + bodyReservation;
+        bodyReservation = 0;
         // The next message must not use the bytes of this one, which now belong to it.
         buffer = position < dataEnd
-                ? Arrays.copyOfRange(messageBuffer, position, Math.max(position + INITIAL_BUFFER_BYTES, dataEnd))
+                ? Arrays.copyOfRange(takenBuffer, position, Math.max(position + INITIAL_BUFFER_BYTES, dataEnd))
                 : null;
+        bufferReservation = buffer == null ? 0 : buffer.length - INITIAL_BUFFER_BYTES;
+        memory.add(bufferReservation); // for bytes that were received with the message
         dataEnd = buffer == null ? 0 : dataEnd - position;
         position = 0;
-        takenBuffer = messageBuffer;
         takenHeaders = headers;
         headers = reusableHeaders == null ? new Headers() : reusableHeaders;
         reusableHeaders = null;
@@ -240,15 +256,43 @@
 
     /**
      * Allows the header fields of the message taken last to be reused, and with {@code includingBody} its buffer too;
-     * called once nobody needs them any more.
+     * called once nobody needs them any more. Without {@code includingBody} the caller takes over the memory that is
+     * reserved for the message, and releases it once nobody needs the body.
      */
-    public final void releaseMessage(boolean includingBody) {
-        if (includingBody && buffer == null) {
+    public final MemoryReservation releaseMessage(boolean includingBody) {
+        if (includingBody && buffer == null && takenBuffer.length == INITIAL_BUFFER_BYTES) {
             buffer = takenBuffer;
         }
+        takenHeaders.setBuffer(null);
         reusableHeaders = takenHeaders;
         takenBuffer = null;
         takenHeaders = null;
+        MemoryReservation reservation = MemoryReservation.of(memory::release, takenReservation);
+        takenReservation = 0;
+        if (includingBody) {
+            reservation.release();
+        }
+        return reservation;
+    }
+
+    /** Whether the message that is being received holds memory beyond the initial buffer. */
+    public final boolean holdsReservedMemory() {
+        return bufferReservation + bodyReservation > 0;
+    }
+
+    /** Drops all bytes and releases their memory; the parser must not be used afterwards, except to drop it again. */
+    public final void discard() {
+        memory.release(bufferReservation + bodyReservation + takenReservation);
+        bufferReservation = 0;
+        bodyReservation = 0;
+        takenReservation = 0;
+        buffer = null;
+        bufferView = null;
+        body = null;
+        bodyView = null;
+        takenBuffer = null;
+        takenHeaders = null;
+        headers.setBuffer(null);
     }
 
     private void reset() {
@@ -327,7 +371,7 @@
             throw new HttpException(431, "too many fields");
         }
         int colon = from;
-        while (colon < end && isTokenChar(buffer[colon])) {
+        while (colon < end && HttpSyntax.isTokenChar(buffer[colon])) {
             colon++;
         }
         if (colon == from || colon == end || buffer[colon] != ':') {
@@ -344,36 +388,9 @@
         headers.add(from, colon, valueStart, valueEnd);
     }
 
-    static boolean isTokenChar(byte b) {
-        return b >= 0 && IS_TOKEN_CHAR[b];
-    }
-
     /** Accepts HTTP/1.0 and 1.1. */
     final void parseVersion(byte[] bytes, int from, int end) throws HttpException {
-        boolean wellFormed = end - from == 8
-                && bytes[from] == 'H'
-                && bytes[from + 1] == 'T'
-                && bytes[from + 2] == 'T'
-                && bytes[from + 3] == 'P'
-                && bytes[from + 4] == '/'
-                && isDigit(bytes[from + 5])
-                && bytes[from + 6] == '.'
-                && isDigit(bytes[from + 7]);
-        if (!wellFormed) {
-            throw new HttpException(400, "bad version");
-        }
-        if (bytes[from + 5] != '1') {
-            throw new HttpException(505, "unknown version");
-        }
-        isHttp10 = bytes[from + 7] == '0';
-    }
-
-    static boolean isDigit(byte b) {
-        return b >= '0' && b <= '9';
-    }
-
-    static String decodeLatin1(byte[] bytes, int from, int end) {
-        return new String(bytes, from, end - from, StandardCharsets.ISO_8859_1);
+        isHttp10 = HttpSyntax.parseMinorVersion(bytes, from, end) == 0;
     }
 
     /**
@@ -402,7 +419,7 @@
             remaining = length;
             bodyOffset = position;
             state = State.BODY;
-            if (position + length > buffer.length) {
+            if (keepsBodies && position + length > buffer.length) {
                 allocateBody((int) length);
             }
         } else if (length < 0 && mayBeCloseDelimited()) {
@@ -414,7 +431,9 @@
     }
 
     /** Allocates an array for a body that does not fit behind its head, and moves there what was received of it. */
-    private void allocateBody(int length) {
+    private void allocateBody(int length) throws HttpException {
+        reserve(length);
+        bodyReservation = length;
         body = new byte[length];
         bodySize = dataEnd - position;
         System.arraycopy(buffer, position, body, 0, bodySize);
@@ -439,14 +458,19 @@
         if (bodySize + count > maxBodyBytes) {
             throw new HttpException(413, "body over " + maxBodyBytes + " bytes");
         }
-        if (body == null || body.length < bodySize + count) {
-            byte[] larger = new byte[Math.max(INITIAL_BUFFER_BYTES, Math.min(maxBodyBytes, 2 * (bodySize + count)))];
+        if (keepsBodies && (body == null || body.length < bodySize + count)) {
+            int capacity = Math.max(INITIAL_BUFFER_BYTES, Math.min(maxBodyBytes, 2 * (bodySize + count)));
+            reserve(capacity - bodyReservation);
+            bodyReservation = capacity;
+            byte[] larger = new byte[capacity];
             if (body != null) {
                 System.arraycopy(body, 0, larger, 0, bodySize);
             }
             body = larger;
         }
-        System.arraycopy(buffer, position, body, bodySize, count);
+        if (keepsBodies) {
+            System.arraycopy(buffer, position, body, bodySize, count);
+        }
         bodySize += count;
         position += count;
         if (state != State.UNTIL_CLOSE) {
@@ -465,28 +489,7 @@
     }
 
     private void parseChunkSize(int from, int lineEnd) throws HttpException {
-        int end = from;
-        while (end < lineEnd && buffer[end] != ';') {
-            end++;
-        }
-        int start = from;
-        while (start < end && Headers.isBlank(buffer[start])) {
-            start++;
-        }
-        while (end > start && Headers.isBlank(buffer[end - 1])) {
-            end--;
-        }
-        if (end == start || end - start > 8) {
-            throw new HttpException(400, "bad chunk size");
-        }
-        long size = 0;
-        for (int i = start; i < end; i++) {
-            int digit = Character.digit(buffer[i], 16);
-            if (buffer[i] < 0 || digit < 0) {
-                throw new HttpException(400, "bad chunk size");
-            }
-            size = 16 * size + digit;
-        }
+        long size = HttpSyntax.parseChunkSize(buffer, from, lineEnd);
         remaining = size;
         headSize = 0;
         if (bodySize + remaining > maxBodyBytes) {
--- a/src/main/java/olivechute/http/RequestParser.java
+++ b/src/main/java/olivechute/http/RequestParser.java
@@ -1,14 +1,29 @@
 package olivechute.http;
 
+import olivechute.memory.MemoryAllowance;
+
 /** Parses HTTP requests. */
 public final class RequestParser extends MessageParser<HttpRequest> {
     private String method;
     private String target;
 
+    /** For requests of any number and kind, as in tests and tools. */
+    public RequestParser() {}
+
+    /** For requests of a peer, whose memory is reserved from an allowance. */
+    public RequestParser(MemoryAllowance memory) {
+        super(MAX_BODY_BYTES, true, memory);
+    }
+
+    /** Whether the message that is being received, whose start line is complete, has this target. */
+    public boolean isReceiving(String path) {
+        return path.equals(target);
+    }
+
     @Override
     void parseStartLine(byte[] bytes, int from, int end) throws HttpException {
         int methodEnd = from;
-        while (methodEnd < end && isTokenChar(bytes[methodEnd])) {
+        while (methodEnd < end && HttpSyntax.isTokenChar(bytes[methodEnd])) {
             methodEnd++;
         }
         int targetStart = methodEnd + 1;
@@ -31,8 +46,8 @@
                         && bytes[from + 2] == 'S'
                         && bytes[from + 3] == 'T'
                 ? "POST"
-                : decodeLatin1(bytes, from, methodEnd);
-        target = decodeLatin1(bytes, targetStart, targetEnd);
+                : HttpSyntax.decodeLatin1(bytes, from, methodEnd);
+        target = HttpSyntax.decodeLatin1(bytes, targetStart, targetEnd);
     }
 
     @Override
--- a/src/main/java/olivechute/http/ResponseParser.java
+++ b/src/main/java/olivechute/http/ResponseParser.java
@@ -1,5 +1,7 @@
 package olivechute.http;
 
+import olivechute.memory.MemoryAllowance;
+
 /** Parses HTTP responses; interim ones (1xx) are returned like the others. */
 public final class ResponseParser extends MessageParser<HttpResponse> {
     private static final int STATUS_OFFSET = 9; // offset in the status line
@@ -11,7 +13,16 @@
 
     /** For responses with a body of at most {@code maxBodyBytes}. */
     public ResponseParser(int maxBodyBytes) {
-        super(maxBodyBytes);
+        super(maxBodyBytes, true, MemoryAllowance.UNLIMITED);
+    }
+
+    private ResponseParser(MemoryAllowance memory) {
+        super(MAX_BODY_BYTES, false, memory);
+    }
+
+    /** For responses of which only the head is needed: their bodies, of at most 64 KiB, are read and discarded. */
+    public static ResponseParser discardingBodies(MemoryAllowance memory) {
+        return new ResponseParser(memory);
     }
 
     @Override
@@ -21,8 +32,8 @@
                 && bytes[statusStart - 1] == ' '
                 && bytes[statusStart] >= '1'
                 && bytes[statusStart] <= '5'
-                && isDigit(bytes[statusStart + 1])
-                && isDigit(bytes[statusStart + 2])
+                && HttpSyntax.isDigit(bytes[statusStart + 1])
+                && HttpSyntax.isDigit(bytes[statusStart + 2])
                 && (statusStart + 3 == end || bytes[statusStart + 3] == ' ');
         if (!wellFormed) {
             throw new HttpException(400, "bad status line");
--- a/src/main/java/olivechute/net/Connection.java
+++ b/src/main/java/olivechute/net/Connection.java
@@ -8,6 +8,7 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import olivechute.memory.MemoryAllowance;
 import org.tinylog.Logger;
 
 /**
@@ -51,8 +52,16 @@
      * The buffer must be backed by an array with offset 0.
      */
     public int readAvailable(ByteBuffer buffer) throws IOException {
+        return readWithin(buffer, 1);
+    }
+
+    /**
+     * Reads the available bytes, waiting at most {@code timeoutMillis} for some; 0 if there are none, negative at the
+     * end of the input. The buffer must be backed by an array with offset 0.
+     */
+    public int readWithin(ByteBuffer buffer, int timeoutMillis) throws IOException {
         try {
-            socket().setSoTimeout(1);
+            socket().setSoTimeout(timeoutMillis);
             int read = TimedReads.read(inputStream(), buffer.array(), buffer.position(), buffer.remaining());
             buffer.position(buffer.position() + Math.max(0, read));
             return read;
@@ -70,6 +79,14 @@
         return stream;
     }
 
+    /**
+     * Reads bytes that are discarded, without interpreting them, and blocks until there are some; negative at the end
+     * of the input. The connection must not be read otherwise afterwards.
+     */
+    public int readDiscarded(ByteBuffer buffer) throws IOException {
+        return channel.read(buffer);
+    }
+
     /** Writes all bytes. */
     public void write(ByteBuffer bytes) throws IOException {
         while (bytes.hasRemaining()) {
@@ -125,6 +142,16 @@
         return channel.socket();
     }
 
+    /** Sets what the buffers of this connection are reserved from; called before it is used. */
+    public void limitMemory(MemoryAllowance allowance) {
+        // a plaintext connection has no buffers
+    }
+
+    /** Drops the buffers that hold received bytes; called by the reader once it interprets none any more. */
+    public void discardReceived() {
+        // a plaintext connection has none
+    }
+
     /** Closes the connection, also while other threads read or write. */
     public void close() throws IOException {
         channel.close();
--- a/src/main/java/olivechute/node/Node.java
+++ b/src/main/java/olivechute/node/Node.java
@@ -12,6 +12,7 @@
 import olivechute.downstream.PeerIdentity;
 import olivechute.endpointlist.EndpointListLease;
 import olivechute.loadbalancing.RequestClass;
+import olivechute.memory.MemoryBudget;
 import olivechute.metrics.MetricsReporting;
 import olivechute.net.FileDescriptors;
 import olivechute.net.Threads;
@@ -34,6 +35,8 @@
     private static final long SWEEP_PERIOD_US = 100_000;
     /** The bodies of open requests may take up this fraction of the heap: one part in so many. */
     private static final long BODY_HEAP_DIVISOR = 4;
+    /** All that peers make the node hold may take up this fraction of the heap. */
+    private static final double PEER_MEMORY_HEAP_FRACTION = 0.4;
 
     private static final long IDENTITY_CHECK_PERIOD_US = 1_000_000;
     /**
@@ -61,6 +64,8 @@
     private static final long DRAIN_POLL_MS = 10;
 
     private final EventLoop loop = new EventLoop();
+    private final MemoryBudget peerMemory = new MemoryBudget(
+            (long) (PEER_MEMORY_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
     private final NodeConfig startConfig;
     private final int maxDownstreamConnections;
     private final ConnectionPools pools;
@@ -111,7 +116,8 @@
                 Threads.connectionThreads(),
                 config.settings(),
                 config.loadReportFields(),
-                maxDownstreamConnections);
+                maxDownstreamConnections,
+                peerMemory);
         loop.post(new ProxyEvent.Task(() -> dispatcher.start(config.initialEndpoints())));
         listWatcher.start();
         listWatcher.watch(); // the answer normally arrives during the warmup
@@ -147,7 +153,8 @@
                 config.settings().limits().connectionIdleTimeoutUs(),
                 config.connectTimeoutUs(),
                 maxConnections,
-                config.settings().rules().keepsUnlistedEndpoints());
+                config.settings().rules().keepsUnlistedEndpoints(),
+                peerMemory);
     }
 
     private MetricsReporting reporting(NodeConfig config) throws IOException {
--- a/src/main/java/olivechute/proxy/ProxyEvent.java
+++ b/src/main/java/olivechute/proxy/ProxyEvent.java
@@ -3,15 +3,29 @@
 import olivechute.loadbalancing.AttemptOutcome;
 import olivechute.loadbalancing.LoadReport;
 import olivechute.loadbalancing.Request;
+import olivechute.memory.MemoryReservation;
 
 /** Events that client connections, endpoint connections and discovery post to the event loop. */
 public sealed interface ProxyEvent {
     /**
      * A client's request arrived; {@code receivedAtUs} is when its last byte was received, in microseconds on the
-     * loop's clock.
+     * loop's clock. {@code memory} is reserved for the payload and released once the request has ended.
      */
-    record RequestArrived(Request request, Payload payload, ClientStream client, long receivedAtUs)
-            implements ProxyEvent {}
+    record RequestArrived(
+            Request request, Payload payload, ClientStream client, long receivedAtUs, MemoryReservation memory)
+            implements ProxyEvent {
+        /** A request without reserved memory. */
+        public RequestArrived(Request request, Payload payload, ClientStream client, long receivedAtUs) {
+            this(request, payload, client, receivedAtUs, MemoryReservation.NONE);
+        }
+
+        /** The same request with the memory that is reserved for it. */
+        public RequestArrived withMemory(MemoryReservation reservation) {
+            return reservation == MemoryReservation.NONE
+                    ? this
+                    : new RequestArrived(request, payload, client, receivedAtUs, reservation);
+        }
+    }
 
     /** The client of a request closed its connection or cancelled the request. */
     record ClientDisconnected(String requestId, ClientStream client) implements ProxyEvent {}
@@ -49,10 +63,35 @@
      *
      * @param progress fraction of the work that is done, from 0 to 1
      * @param result the result if the request is done, otherwise {@code null}
+     * @param memory reserved for the result, and released once the event is handled
      */
     record JobStatusReceived(
-            String requestId, String endpoint, JobStatus status, double progress, byte[] result, LoadReport loadReport)
-            implements ProxyEvent {}
+            String requestId,
+            String endpoint,
+            JobStatus status,
+            double progress,
+            byte[] result,
+            LoadReport loadReport,
+            MemoryReservation memory)
+            implements ProxyEvent {
+        /** An event without reserved memory. */
+        public JobStatusReceived(
+                String requestId,
+                String endpoint,
+                JobStatus status,
+                double progress,
+                byte[] result,
+                LoadReport loadReport) {
+            this(requestId, endpoint, status, progress, result, loadReport, MemoryReservation.NONE);
+        }
+
+        /** The same event with the memory that is reserved for its result. */
+        public JobStatusReceived withMemory(MemoryReservation reservation) {
+            return reservation == MemoryReservation.NONE
+                    ? this
+                    : new JobStatusReceived(requestId, endpoint, status, progress, result, loadReport, reservation);
+        }
+    }
 
     /**
      * The endpoint list changed or was confirmed; {@code completeAsOfUs} is when the list was complete, in microseconds
--- a/src/main/java/olivechute/proxy/RequestDispatcher.java
+++ b/src/main/java/olivechute/proxy/RequestDispatcher.java
@@ -19,6 +19,7 @@
 import olivechute.loadbalancing.ShareLoadBalancer;
 import olivechute.loadbalancing.Tenant;
 import olivechute.log.RequestLogFields;
+import olivechute.memory.FailureLog;
 import org.tinylog.Logger;
 
 /**
@@ -153,7 +154,7 @@
     @Override
     public void accept(ProxyEvent event) {
         if (event instanceof ProxyEvent.RequestArrived e) {
-            openRequest(e);
+            openOrFail(e);
         } else if (event instanceof ProxyEvent.ClientDisconnected e) {
             onClientDisconnected(e);
         } else if (event instanceof ProxyEvent.JobStatusReceived e) {
@@ -188,6 +189,22 @@
                 "open requests {} of {}, {}", requestsById.size(), maxOpenRequests, health.describeForLog(loop.now()));
     }
 
+    /** Opens a request. If that fails, it is answered all the same, and nothing of it is kept. */
+    private void openOrFail(ProxyEvent.RequestArrived arrival) {
+        try {
+            openRequest(arrival);
+        } catch (RuntimeException | Error e) {
+            FailureLog.log(e, "opening a request failed");
+            ActiveRequest request = requestsById.get(arrival.request().id());
+            if (request == null || request.arrival != arrival) {
+                arrival.memory().release();
+                arrival.client().sendFailure();
+            } else {
+                fail(request.id);
+            }
+        }
+    }
+
     private void openRequest(ProxyEvent.RequestArrived arrival) {
         Request received = arrival.request();
         String id = received.id();
@@ -195,6 +212,7 @@
         if (requestsById.containsKey(id) || recentRequestIds.contains(id, nowUs)) {
             // Two requests with the same id would share their attempts and answers, and late status events of the first
             // may still arrive.
+            arrival.memory().release();
             arrival.client().sendDuplicateId();
             return;
         }
@@ -204,19 +222,20 @@
                 || !bodyMemory.tryReserve(arrival.payload().length())) {
             requestAccounting.onRejectedAtLimit(classIndex);
             requestLog.onRejectedAtLimit(id, requestsById.size());
+            arrival.memory().release();
             arrival.client().sendRejection(loadBalancer.retryAfterUs(nowUs));
             return;
         }
         long giveUpAtUs = Math.min(arrival.receivedAtUs() + received.timeLeftUs(), answerAllByUs);
-        ActiveRequest request = new ActiveRequest(arrival, settings, classIndex, nowUs, giveUpAtUs, listIsCurrent);
-        requestsById.put(id, request);
-        scheduleDeadline(request);
         try {
-            loadBalancer.onRequest(nowUs, received.withTimeLeft(Math.max(0, giveUpAtUs - nowUs)));
-        } catch (RuntimeException e) {
-            Logger.error(e, "load balancer failed on a new request");
-            fail(id);
+            ActiveRequest request = new ActiveRequest(arrival, settings, classIndex, nowUs, giveUpAtUs, listIsCurrent);
+            scheduleDeadline(request);
+            requestsById.put(id, request);
+        } catch (OutOfMemoryError e) {
+            bodyMemory.release(arrival.payload().length());
+            throw e;
         }
+        loadBalancer.onRequest(nowUs, received.withTimeLeft(Math.max(0, giveUpAtUs - nowUs)));
     }
 
     private void onClientDisconnected(ProxyEvent.ClientDisconnected event) {
@@ -268,9 +287,13 @@
     }
 
     private void onJobStatus(ProxyEvent.JobStatusReceived event) {
-        ActiveRequest request = requestsById.get(event.requestId());
-        if (request != null && request.inFlightAttempt != null) {
-            jobStatusHandler.onStatus(request, event);
+        try {
+            ActiveRequest request = requestsById.get(event.requestId());
+            if (request != null && request.inFlightAttempt != null) {
+                jobStatusHandler.onStatus(request, event);
+            }
+        } finally {
+            event.memory().release();
         }
     }
 
@@ -309,6 +332,7 @@
         if (request.answered && request.inFlightAttempt == null && requestsById.remove(request.id, request)) {
             request.deadlineTimer.cancel();
             bodyMemory.release(request.arrival.payload().length());
+            request.arrival.memory().release();
             if (request.attemptCount > request.suppressedAttempts) {
                 recentRequestIds.add(request.id, loop.now());
             }
--- a/src/main/java/olivechute/security/TlsConnection.java
+++ b/src/main/java/olivechute/security/TlsConnection.java
@@ -14,6 +14,8 @@
 import olivechute.identity.SvidManager;
 import olivechute.identity.X509Check;
 import olivechute.identity.X509Svid;
+import olivechute.memory.MemoryAllowance;
+import olivechute.memory.MemoryExhaustedException;
 import olivechute.net.Connection;
 import olivechute.net.TimedReads;
 import olivechute.tls.TlsException;
@@ -28,8 +30,15 @@
 @SuppressWarnings({"ReferenceEquality", "ByteBufferBackingArray"
 }) // states are compared by reference to detect a change; the buffers are allocated on the heap here
 final class TlsConnection extends Connection {
-    /** A head and a body of up to this many bytes together are sent as one TLS record. */
+    /** A head and a body of up to this many bytes together are sent as one TLS record; more is encrypted in parts. */
     private static final int MAX_JOINED_BYTES = 16 * 1024;
+    /**
+     * Memory for input beyond the initial buffers: a handshake message of the maximum size that the JDK accepts, or one
+     * record as received and as plaintext.
+     */
+    private static final int LARGE_BUFFERS_BYTES = 48 * 1024;
+
+    private static final int NO_TIMEOUT = 0;
 
     /**
      * Checks whether a connection may be used with its authenticated peer; throws an {@link IOException} with the
@@ -49,6 +58,8 @@
     private final Semaphore handshakePermits;
     private final PeerCheck peerCheck;
     private final Object writeLock = new Object();
+    private MemoryAllowance memory = MemoryAllowance.UNLIMITED;
+    private int reservedBytes; // for input; used by the reading thread only
     private ByteBuffer plaintext = ByteBuffer.allocate(0); // used by the reading thread only
     private final int acceptTimeoutMillis; // 0 for an outgoing connection
     private volatile SvidManager.State checkedState; // the state against which the peer was last accepted
@@ -126,6 +137,7 @@
                         throw new EOFException("connection closed during the handshake");
                     }
                     buffer.position(buffer.position() + n);
+                    reserveLargeBuffers();
                 }
                 sendsFirst = false;
                 advanceWithPermit(deadlineNanos, timeoutMillis);
@@ -138,6 +150,44 @@
         }
     }
 
+    @Override
+    public void limitMemory(MemoryAllowance allowance) {
+        memory = allowance;
+    }
+
+    /**
+     * Reserves memory before the state machine allocates its large buffers, and releases it once it has none. Called by
+     * the reading thread, which holds no lock, as this may wait.
+     */
+    private void reserveLargeBuffers() throws MemoryExhaustedException {
+        boolean needed;
+        synchronized (stateMachine) {
+            needed = stateMachine.needsLargeBuffers();
+        }
+        if (needed && reservedBytes == 0) {
+            if (!memory.tryReserve(LARGE_BUFFERS_BYTES)) {
+                throw new MemoryExhaustedException("a TLS record");
+            }
+            reservedBytes = LARGE_BUFFERS_BYTES;
+        } else if (!needed && reservedBytes > 0) {
+            releaseReserved();
+        }
+    }
+
+    private void releaseReserved() {
+        memory.release(reservedBytes);
+        reservedBytes = 0;
+    }
+
+    @Override
+    public void discardReceived() {
+        plaintext = ByteBuffer.allocate(0);
+        synchronized (stateMachine) {
+            stateMachine.discardInput();
+        }
+        releaseReserved();
+    }
+
     private static int remainingMillis(long deadlineNanos, int timeoutMillis) throws IOException {
         long remaining = (deadlineNanos - System.nanoTime()) / 1_000_000;
         if (remaining <= 0) {
@@ -243,16 +293,17 @@
 
     @Override
     public int read(ByteBuffer into) throws IOException {
-        return read(into, true);
+        return read(into, NO_TIMEOUT);
     }
 
     @Override
-    public int readAvailable(ByteBuffer into) throws IOException {
-        return read(into, false);
+    public int readWithin(ByteBuffer into, int timeoutMillis) throws IOException {
+        return read(into, timeoutMillis);
     }
 
-    private int read(ByteBuffer into, boolean blocking) throws IOException {
+    private int read(ByteBuffer into, int timeoutMillis) throws IOException {
         while (!plaintext.hasRemaining()) {
+            reserveLargeBuffers();
             advance();
             synchronized (stateMachine) {
                 plaintext = stateMachine.received();
@@ -261,13 +312,13 @@
                 }
             }
             if (!plaintext.hasRemaining()) {
-                int n = blocking
+                int n = timeoutMillis == NO_TIMEOUT
                         ? super.read(stateMachine.receiveBuffer())
-                        : super.readAvailable(stateMachine.receiveBuffer());
+                        : super.readWithin(stateMachine.receiveBuffer(), timeoutMillis);
                 if (n < 0) {
                     throw new EOFException("connection closed without a TLS close_notify");
                 }
-                if (n == 0 && !blocking) {
+                if (n == 0 && timeoutMillis != NO_TIMEOUT) {
                     return 0;
                 }
             }
@@ -280,7 +331,13 @@
 
     @Override
     public void write(ByteBuffer bytes) throws IOException {
-        send(() -> stateMachine.send(bytes));
+        int end = bytes.limit();
+        synchronized (writeLock) {
+            while (bytes.position() < end) {
+                bytes.limit(Math.min(end, bytes.position() + MAX_JOINED_BYTES));
+                send(() -> stateMachine.send(bytes));
+            }
+        }
     }
 
     @Override
--- a/src/main/java/olivechute/tls/TlsStateMachine.java
+++ b/src/main/java/olivechute/tls/TlsStateMachine.java
@@ -56,6 +56,23 @@
         return inbound.hasRemaining();
     }
 
+    /**
+     * Returns true if the state machine holds more for input than its initial buffers, or will with the next call of
+     * {@link #advance}: a handshake is in progress, or a record does not fit the initial buffer.
+     */
+    public boolean needsLargeBuffers() {
+        return (!isOpen() && inbound.position() > 0)
+                || inbound.capacity() > INITIAL_BUFFER_BYTES
+                || plaintext.capacity() > INITIAL_BUFFER_BYTES
+                || !inbound.hasRemaining();
+    }
+
+    /** Drops all input; {@link #advance} must not be called afterwards. Output can still be sent. */
+    public void discardInput() {
+        inbound = ByteBuffer.allocate(0);
+        plaintext = ByteBuffer.allocate(0);
+    }
+
     /**
      * Processes the bytes in {@link #receiveBuffer} as far as possible. After a {@link TlsException} the driver must
      * send {@link #toSend} and close the connection.
@@ -77,6 +94,9 @@
                 }
             } finally {
                 inbound.compact();
+                if (plaintext.position() == 0 && plaintext.capacity() > INITIAL_BUFFER_BYTES) {
+                    plaintext = ByteBuffer.allocate(INITIAL_BUFFER_BYTES);
+                }
                 if (inbound.position() == 0 && inbound.capacity() > INITIAL_BUFFER_BYTES) {
                     inbound = ByteBuffer.allocate(INITIAL_BUFFER_BYTES);
                 } else if (!inbound.hasRemaining()) {
--- a/src/main/java/olivechute/upstream/ConnectionPools.java
+++ b/src/main/java/olivechute/upstream/ConnectionPools.java
@@ -12,6 +12,9 @@
 import olivechute.loadbalancing.AttemptOutcome;
 import olivechute.loadbalancing.EndpointState;
 import olivechute.loadbalancing.LoadReport;
+import olivechute.memory.MemoryAllowance;
+import olivechute.memory.MemoryBudget;
+import olivechute.memory.TieredAllowance;
 import olivechute.net.Connection;
 import olivechute.net.WriterThreads;
 import olivechute.proxy.EndpointListUpdate;
@@ -38,6 +41,7 @@
      */
     private static final long FRESH_IDLE_US = UpstreamConnection.SETTLE_TIME_US + 20_000;
 
+    private final MemoryBudget memory;
     private final EventLoop loop;
     private final WriterThreads writers;
     private final Connector connector;
@@ -64,6 +68,30 @@
             long connectTimeoutUs,
             int maxConnections,
             boolean onlyDrainingBinds) {
+        this(
+                loop,
+                writers,
+                connector,
+                loadReportHeader,
+                endpointIdleTimeoutUs,
+                connectTimeoutUs,
+                maxConnections,
+                onlyDrainingBinds,
+                MemoryBudget.unlimited());
+    }
+
+    /** Creates the pools; {@code memory} limits what endpoints make this node hold of their responses. */
+    public ConnectionPools(
+            EventLoop loop,
+            WriterThreads writers,
+            Connector connector,
+            LoadReportHeader loadReportHeader,
+            long endpointIdleTimeoutUs,
+            long connectTimeoutUs,
+            int maxConnections,
+            boolean onlyDrainingBinds,
+            MemoryBudget memory) {
+        this.memory = memory;
         this.loop = loop;
         this.writers = writers;
         this.connector = connector;
@@ -260,6 +288,11 @@
         return loop.now();
     }
 
+    /** What a new connection may use for responses. */
+    MemoryAllowance responseMemory() {
+        return new TieredAllowance(memory, () -> MemoryBudget.Tier.KNOWN_ENDPOINT, 0);
+    }
+
     Connection createUnconnected(EndpointConnectionPool pool) throws IOException {
         return connector.createUnconnected(pool.name);
     }
--- a/src/main/java/olivechute/upstream/UpstreamConnection.java
+++ b/src/main/java/olivechute/upstream/UpstreamConnection.java
@@ -6,6 +6,7 @@
 import olivechute.http.HttpResponse;
 import olivechute.http.ResponseParser;
 import olivechute.loadbalancing.AttemptOutcome;
+import olivechute.memory.MemoryAllowance;
 import olivechute.net.Connection;
 import olivechute.net.Threads;
 import olivechute.proxy.UpstreamRequest;
@@ -41,7 +42,8 @@
     private final EndpointConnectionPool pool;
     private final EndpointConnectionPool.Location location;
     private volatile Connection transport;
-    private final ResponseParser parser = new ResponseParser();
+    private final MemoryAllowance memory;
+    private final ResponseParser parser;
     private Exchange currentExchange; // guarded by this, like the fields below
     private boolean connected; // the connection is established
     private boolean responseReceived; // at least one response arrived
@@ -57,6 +59,8 @@
         this.pools = pools;
         this.pool = pool;
         this.location = pool.location();
+        this.memory = pools.responseMemory();
+        this.parser = ResponseParser.discardingBodies(memory);
         this.currentExchange = firstExchange;
         this.exchangeStartUs = firstExchange.createdAtUs();
     }
@@ -228,12 +232,17 @@
             Logger.warn("{} sent an invalid HTTP response: {}", location.address(), e.getMessage());
         } finally {
             close(true);
+            parser.discard();
+            if (transport != null) {
+                transport.discardReceived();
+            }
         }
     }
 
     /** False if the connection was given up before it had a socket. */
     private boolean connect() throws IOException {
         Connection newTransport = pools.createUnconnected(pool);
+        newTransport.limitMemory(memory);
         synchronized (this) {
             if (!closed) {
                 transport = newTransport;
--- a/src/test/java/olivechute/ClientDisconnectTest.java
+++ b/src/test/java/olivechute/ClientDisconnectTest.java
@@ -147,6 +147,11 @@
             return counted(super.readAvailable(into));
         }
 
+        @Override
+        public int readDiscarded(ByteBuffer into) throws IOException {
+            return counted(super.readDiscarded(into));
+        }
+
         private int counted(int n) {
             bytesRead.addAndGet(Math.max(0, n));
             return n;
--- a/src/test/java/olivechute/DownstreamServerTestBase.java
+++ b/src/test/java/olivechute/DownstreamServerTestBase.java
@@ -17,6 +17,7 @@
 import olivechute.config.NodeConfig;
 import olivechute.downstream.DownstreamServer;
 import olivechute.downstream.PeerIdentity;
+import olivechute.memory.MemoryBudget;
 import olivechute.net.Connection;
 import olivechute.net.ConnectionThreads;
 import olivechute.net.Threads;
@@ -35,6 +36,9 @@
     EventLoop loop;
     WriterThreads writers;
     DownstreamServer server;
+    /** What the peers of the server may make it hold. */
+    MemoryBudget memory;
+
     InetSocketAddress serverAddress;
     BlockingQueue<ProxyEvent.RequestArrived> arrivedRequests;
     BlockingQueue<ProxyEvent.ClientDisconnected> disconnects;
@@ -47,6 +51,7 @@
         disconnects = new LinkedBlockingQueue<>();
         onRequest = () -> {};
         writers = new WriterThreads(100);
+        memory = MemoryBudget.unlimited();
     }
 
     void listen(Function<SocketChannel, Connection> connectionFactory) throws IOException {
@@ -64,7 +69,7 @@
         Files.delete(file);
         loop = new EventLoop();
         server = new DownstreamServer(
-                loop, writers, threads, config.settings(), config.loadReportFields(), maxConnections);
+                loop, writers, threads, config.settings(), config.loadReportFields(), maxConnections, memory);
         loop.runPeriodically(SWEEP_INTERVAL_US, server::sweep);
         loop.start(event -> {
             if (event instanceof ProxyEvent.RequestArrived e) {
--- a/src/test/java/olivechute/NodeProcessTestBase.java
+++ b/src/test/java/olivechute/NodeProcessTestBase.java
@@ -28,13 +28,18 @@
 
     /** As above, after the shell has run {@code shellPrefix}. */
     void startProcess(String shellPrefix, Path configuration) {
+        startProcess(shellPrefix, configuration, "96m");
+    }
+
+    /** As above, with this maximum size of the heap. */
+    void startProcess(String shellPrefix, Path configuration, String maxHeap) {
         program = TestProcess.start(ProcessSpec.command(
                         "node",
                         "/bin/sh",
                         "-c",
                         shellPrefix + "; exec \"$0\" \"$@\"",
                         ProcessSpec.java(),
-                        "-Xmx96m",
+                        "-Xmx" + maxHeap,
                         "-Dtinylog.level=info",
                         "-cp",
                         System.getProperty("java.class.path"),
