An error on a node's thread no longer leaves a process that cannot serve

Cause: errors were caught where events, timers and writes run, but not around that: in the loop's own thread, while a thread holds the loop's lock, in the logging of an error, in the watch, in a writer thread, which stayed counted as running.

Change: the loop goes on and gives its lock back, timers run without allocating, the watch and the sources of identities start again, writer threads end as counted. memory.FailureLog logs without throwing.

--- a/src/main/java/olivechute/discovery/EndpointListWatcher.java
+++ b/src/main/java/olivechute/discovery/EndpointListWatcher.java
@@ -14,6 +14,7 @@
 import olivechute.endpointlist.WatchTimeouts;
 import olivechute.loadbalancing.EndpointState;
 import olivechute.loadbalancing.LoadBalancerSettings;
+import olivechute.memory.FailureLog;
 import olivechute.net.Threads;
 import olivechute.proxy.EndpointListSource;
 import olivechute.proxy.EndpointListUpdate;
@@ -47,6 +48,8 @@
      */
     private static final int CONFIRMATION_TIMEOUT_MS = 150;
 
+    private static final long FAILURE_PAUSE_NANOS = 100_000_000;
+
     private final EventLoop loop;
     private final DiscoveryConnection connection;
     private final WatchTimeouts watchTimeouts;
@@ -159,6 +162,22 @@
     }
 
     private void run() {
+        while (!Thread.currentThread().isInterrupted()) {
+            try {
+                runWatches();
+            } catch (RuntimeException | Error e) {
+                // Without this thread the node would reject all requests once its list has expired.
+                FailureLog.log(e, "discovery: the watch failed, watching again");
+                connection.close();
+                lastCallFailed = true;
+                watching = false;
+                LockSupport.parkNanos(FAILURE_PAUSE_NANOS);
+                watch();
+            }
+        }
+    }
+
+    private void runWatches() {
         for (; ; ) {
             watchRequests.acquireUninterruptibly();
             watching = true;
@@ -167,6 +186,7 @@
                     pollOnce();
                 }
             } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
                 return;
             } catch (DiscoveryCallException e) {
                 connection.close();
--- a/src/main/java/olivechute/net/ConnectionThreads.java
+++ b/src/main/java/olivechute/net/ConnectionThreads.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import org.tinylog.Logger;
+import olivechute.memory.FailureLog;
 
 /**
  * A pool of threads for connections and writes. A thread whose task has ended waits {@value #KEEP_ALIVE_MILLIS} ms for
@@ -71,8 +71,8 @@
         pool.execute(() -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
-                Logger.error(e, "connection task failed"); // rethrown, the exception would end the thread
+            } catch (RuntimeException | Error e) {
+                FailureLog.log(e, "connection task failed"); // rethrown, it would end the thread
             }
         });
     }
--- a/src/main/java/olivechute/net/WriterThreads.java
+++ b/src/main/java/olivechute/net/WriterThreads.java
@@ -3,7 +3,7 @@
 import java.util.Queue;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.tinylog.Logger;
+import olivechute.memory.FailureLog;
 
 /**
  * Runs writes that may block on a peer, so that they block neither the event loop's own thread nor that of a
@@ -56,8 +56,8 @@
             for (Runnable write = queue.poll(); write != null; write = queue.poll()) {
                 try {
                     write.run();
-                } catch (RuntimeException e) {
-                    Logger.error(e, "write failed");
+                } catch (RuntimeException | Error e) {
+                    FailureLog.log(e, "write failed"); // rethrown, it would leave this thread counted as running
                 }
             }
             runningThreads.decrementAndGet();
--- a/src/main/java/olivechute/proxy/EventLoop.java
+++ b/src/main/java/olivechute/proxy/EventLoop.java
@@ -2,12 +2,11 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import olivechute.memory.FailureLog;
 import org.jctools.queues.atomic.MpscAtomicArrayQueue;
-import org.tinylog.Logger;
 
 /**
  * Runs events one at a time, without a fixed executor thread. A thread that posts an event runs the queued events
@@ -27,6 +26,7 @@
     private static final int MAX_EVENTS_PER_POSTER = 4;
 
     private static final long QUEUE_FULL_RETRY_NANOS = 200_000;
+    private static final long FAILURE_PAUSE_NANOS = 1_000_000;
     private static final long NANOS_PER_MICRO = 1000;
     private static final long STACK_BYTES = 512 * 1024;
 
@@ -123,20 +123,45 @@
 
     private void runLoopThread() {
         for (; ; ) {
-            if (handedToLoopThread) {
-                handedToLoopThread = false;
+            try {
+                runLoopTurn();
+            } catch (RuntimeException | Error e) {
+                // Without this thread no timer runs, so no request would be answered at its deadline.
+                FailureLog.log(e, "event loop failed, continuing");
+            }
+        }
+    }
+
+    private void runLoopTurn() {
+        if (handedToLoopThread) {
+            handedToLoopThread = false;
+            runAsLockHolder(Integer.MAX_VALUE);
+        } else if (now() >= wakeAtUs) {
+            if (executionLock.tryAcquireOrDelegate()) {
                 runAsLockHolder(Integer.MAX_VALUE);
-            } else if (now() >= wakeAtUs) {
-                if (executionLock.tryAcquireOrDelegate()) {
-                    runAsLockHolder(Integer.MAX_VALUE);
-                } else {
-                    // The lock holder fires the timers of this tick.
-                    LockSupport.parkNanos(this, TICK_US * NANOS_PER_MICRO);
-                }
+            } else {
+                // The lock holder fires the timers of this tick.
+                LockSupport.parkNanos(this, TICK_US * NANOS_PER_MICRO);
             }
-            long idleUs = wakeAtUs - now();
-            if (idleUs > 0 && !handedToLoopThread) {
-                LockSupport.parkNanos(this, idleUs * NANOS_PER_MICRO);
+        }
+        long idleUs = wakeAtUs - now();
+        if (idleUs > 0 && !handedToLoopThread) {
+            LockSupport.parkNanos(this, idleUs * NANOS_PER_MICRO);
+        }
+    }
+
+    /**
+     * Runs events as the lock holder until the lock is released or handed over. A failure outside of the events, such
+     * as an {@link OutOfMemoryError}, occurs only while this thread holds the lock, which nobody else would release.
+     */
+    private void runAsLockHolder(int maxEvents) {
+        for (; ; ) {
+            try {
+                runUntilRelease(maxEvents);
+                return;
+            } catch (RuntimeException | Error e) {
+                FailureLog.log(e, "event loop failed while it held the lock, continuing");
+                LockSupport.parkNanos(this, FAILURE_PAUSE_NANOS);
             }
         }
     }
@@ -145,7 +170,7 @@
      * Runs queued events and due timers as the lock holder. After {@code maxEvents} events the lock is handed over to
      * the loop's own thread.
      */
-    private void runAsLockHolder(int maxEvents) {
+    private void runUntilRelease(int maxEvents) {
         lockHolder = Thread.currentThread();
         int eventCount = 0;
         for (; ; ) {
@@ -180,7 +205,9 @@
         if (singleTask != null) {
             deferredTasks.add(singleTask);
         } else if (allTasks != null) {
-            deferredTasks.addAll(Arrays.asList(allTasks));
+            for (Runnable task : allTasks) {
+                deferredTasks.add(task); // allocates nothing, as the list held them before
+            }
         }
     }
 
@@ -204,7 +231,7 @@
             }
         } catch (RuntimeException | Error e) {
             // A failed event must not end the process and with it all other requests.
-            Logger.error(e, "handling an event failed");
+            FailureLog.log(e, "handling an event failed");
         }
     }
 
@@ -231,7 +258,7 @@
             task.run();
         } catch (RuntimeException | Error e) {
             // The thread that runs the deferred task is handling a request of its own, which must not fail with it.
-            Logger.error(e, "deferred task failed");
+            FailureLog.log(e, "deferred task failed");
         }
     }
 }
--- a/src/main/java/olivechute/proxy/TimerWheel.java
+++ b/src/main/java/olivechute/proxy/TimerWheel.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.tinylog.Logger;
+import olivechute.memory.FailureLog;
 
 /**
  * Timers with a resolution of one tick, in a hashed timer wheel. Times are microseconds on one clock. Not thread-safe;
@@ -58,28 +58,31 @@
     void fireUntil(long nowUs) {
         while (currentTick < nowUs / tickUs) {
             currentTick++;
-            List<Timer> slot = slot(currentTick);
-            if (!slot.isEmpty()) {
-                fireDue(slot);
-            }
+            fireDue(slot(currentTick));
         }
     }
 
+    /**
+     * Runs the tasks of a slot that are due, in order. Allocates nothing, so that no timer is lost if there is no
+     * memory. A task may cancel other timers of the slot and add some that are due later, so the search starts anew
+     * after each.
+     */
     private void fireDue(List<Timer> slot) {
-        List<Timer> due = new ArrayList<>();
-        slot.removeIf(timer -> {
-            if (timer.dueTick <= currentTick) {
-                due.add(timer);
-            }
-            return timer.dueTick <= currentTick;
-        });
-        for (Timer timer : due) {
+        for (int i = indexOfDue(slot); i >= 0; i = indexOfDue(slot)) {
+            Timer timer = slot.remove(i);
             Runnable task = timer.task;
-            if (task != null) { // an earlier timer of this tick may have cancelled it
-                timer.task = null;
-                runTask(task);
+            timer.task = null;
+            runTask(task);
+        }
+    }
+
+    private int indexOfDue(List<Timer> slot) {
+        for (int i = 0; i < slot.size(); i++) {
+            if (slot.get(i).dueTick <= currentTick) {
+                return i;
             }
         }
+        return -1;
     }
 
     /**
@@ -90,7 +93,7 @@
         try {
             task.run();
         } catch (RuntimeException | Error e) {
-            Logger.error(e, "timer task failed");
+            FailureLog.log(e, "timer task failed");
         }
     }
 
--- a/src/main/java/olivechute/svid/FolderSvidSource.java
+++ b/src/main/java/olivechute/svid/FolderSvidSource.java
@@ -21,6 +21,7 @@
 import olivechute.identity.SpiffeId;
 import olivechute.identity.SvidManager.Offer;
 import olivechute.identity.TrustBundle;
+import olivechute.memory.FailureLog;
 import olivechute.net.Threads;
 
 /**
@@ -49,7 +50,7 @@
             try {
                 for (; ; ) {
                     Thread.sleep(interval.toMillis());
-                    poll(listener);
+                    pollSafely(listener);
                 }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
@@ -57,6 +58,15 @@
         });
     }
 
+    /** Polls once; whatever fails, the next poll is made, as without it the node's identity would expire. */
+    private void pollSafely(SvidListener listener) {
+        try {
+            poll(listener);
+        } catch (RuntimeException | Error e) {
+            FailureLog.log(e, "identity: reading the folder failed");
+        }
+    }
+
     /**
      * Reads the folder once and passes the result to the listener; does nothing if no file has changed since the last
      * accepted offer.
--- a/src/main/java/olivechute/svid/WorkloadApiSvidSource.java
+++ b/src/main/java/olivechute/svid/WorkloadApiSvidSource.java
@@ -18,6 +18,7 @@
 import olivechute.identity.IdentityRejectedException;
 import olivechute.identity.SvidManager.Offer;
 import olivechute.identity.TrustBundle;
+import olivechute.memory.FailureLog;
 import olivechute.net.Backoff;
 import olivechute.net.Threads;
 
@@ -61,6 +62,9 @@
                                         : e.getMessage()));
                     } catch (GrpcException e) {
                         listener.onFailure("workload API at " + address + ": " + e.getMessage());
+                    } catch (RuntimeException | Error e) {
+                        // Without this thread the node's identity would expire.
+                        FailureLog.log(e, "identity: the connection to the workload API failed");
                     } finally {
                         closeChannel();
                     }
--- a/src/test/java/olivechute/discovery/EndpointListWatcherTest.java
+++ b/src/test/java/olivechute/discovery/EndpointListWatcherTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import olivechute.endpointlist.EndpointListLease;
 import olivechute.endpointlist.WatchTimeouts;
 import olivechute.http.HttpRequest;
@@ -197,6 +198,26 @@
         openResources.clear();
     }
 
+    /**
+     * Guards against an error that ends the thread of the watch, after which the node rejected all requests as soon as
+     * its list had expired.
+     */
+    @Test
+    public void errorOnTheThreadOfTheWatchDoesNotEndTheWatch() throws Exception {
+        StubDiscovery discovery = new StubDiscovery();
+        startWatch(discovery, knownList(), timeouts(NO_TIMEOUT_MS, NO_TIMEOUT_MS));
+        AtomicBoolean thrown = new AtomicBoolean();
+        watcher.onCallFailure(() -> {
+            if (thrown.compareAndSet(false, true)) {
+                throw new OutOfMemoryError("of a test");
+            }
+        });
+        discovery.nextCall().socket().close();
+        Call next = discovery.nextCall();
+        next.write(answer(8, ""));
+        assertListUpdated(8);
+    }
+
     /** How many bytes of an answer the silent call receives: none, part of the head, the head and part of the body. */
     @DataProvider
     public Object[][] partialAnswers() {
--- a/src/test/java/olivechute/proxy/EventLoopTest.java
+++ b/src/test/java/olivechute/proxy/EventLoopTest.java
@@ -46,6 +46,54 @@
         nextEventHandled.await();
     }
 
+    /** An error that cannot be logged, as logging it fails with the same error, like a heap that is full. */
+    private static final class UnloggableError extends Error {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        public String getMessage() {
+            throw new OutOfMemoryError("no memory for the message");
+        }
+    }
+
+    /**
+     * Guards against an error that escapes from the handling of an error: it ended the loop's own thread, or left the
+     * lock with a thread that no longer ran events, so that the node accepted requests and never answered them.
+     */
+    @Test(timeOut = 20_000)
+    public void errorThatCannotBeLoggedDoesNotStopTheLoop() throws Exception {
+        EventLoop loop = new EventLoop();
+        loop.start(event -> {
+            throw new UnloggableError();
+        });
+        for (int i = 0; i < 3; i++) {
+            postIgnoringErrors(loop);
+        }
+        loop.post(new ProxyEvent.Task(() -> loop.runAt(loop.now(), () -> {
+            throw new UnloggableError();
+        })));
+        loop.post(new ProxyEvent.Task(() -> loop.defer(() -> {
+            throw new UnloggableError();
+        })));
+        CountDownLatch eventHandled = new CountDownLatch(1);
+        CountDownLatch timerFired = new CountDownLatch(1);
+        loop.post(new ProxyEvent.Task(() -> {
+            loop.runAt(loop.now() + 20_000, timerFired::countDown);
+            eventHandled.countDown();
+        }));
+        eventHandled.await();
+        timerFired.await();
+    }
+
+    /** Posts an event that fails; whatever comes back to its poster, the loop has to go on. */
+    private static void postIgnoringErrors(EventLoop loop) {
+        try {
+            loop.post(new ProxyEvent.ListWatchFailed());
+        } catch (OutOfMemoryError escaped) {
+            return;
+        }
+    }
+
     private static Field producerIndex(EventLoop loop) throws NoSuchFieldException {
         return field(loop.queue.getClass(), "producerIndex");
     }
