Derive the limit of peers' memory from limits.memory_mb as well as from the heap

Cause: the limit came from the heap alone, which the operator's settings do not give: a node that may take less memory, or runs with another heap, held its peers to the wrong bound.

NodeConfig passes the limit on; a changed one is named as taking a restart.

--- a/src/main/java/olivechute/config/NodeConfig.java
+++ b/src/main/java/olivechute/config/NodeConfig.java
@@ -20,7 +20,8 @@
  * Configuration of a node: the JSON file named by {@code LB_CONFIG}; {@code LB_NAME}, {@code LB_LISTEN} and
  * {@code LB_DISCOVERY}, which override it; and the operator settings file, if {@code OLIVECHUTE_SETTINGS} names one.
  * All configuration is read, checked and given defaults here. {@code identity} is null if identities are off,
- * {@code metrics} if no supervisor is configured; {@code connectTimeoutUs} is in microseconds.
+ * {@code metrics} if no supervisor is configured; {@code connectTimeoutUs} is in microseconds, and
+ * {@code memoryLimitBytes} is what the process may take.
  */
 @SuppressWarnings("ReferenceEquality") // compares for the same object or both null
 public record NodeConfig(
@@ -29,6 +30,7 @@
         InetSocketAddress discoveryAddress,
         long seed,
         int maxConnections,
+        long memoryLimitBytes,
         EndpointListUpdate initialEndpoints,
         LoadBalancerSettings settings,
         LoadReportFields loadReportFields,
@@ -38,6 +40,8 @@
         MetricsSettings metrics) {
     /** The environment variable that names the configuration file. */
     public static final String FILE_VARIABLE = "LB_CONFIG";
+
+    private static final long BYTES_PER_MB = 1024 * 1024;
     /** File descriptors reserved for files, the listener and discovery. */
     public static final int RESERVED_DESCRIPTORS = 64;
     /** Memory of the process without connections, in KiB: 44 MB measured, plus heap growth under load. */
@@ -109,7 +113,11 @@
         List<String> keys = new ArrayList<>();
         note(keys, "name", name, running.name);
         note(keys, "listen", listenAddress, running.listenAddress);
-        note(keys, "limits", maxConnections, running.maxConnections);
+        note(
+                keys,
+                "limits",
+                List.of(maxConnections, memoryLimitBytes),
+                List.of(running.maxConnections, running.memoryLimitBytes));
         note(
                 keys,
                 "settings",
@@ -211,6 +219,7 @@
                 Address.parse("discovery", text(config, environment, "discovery", "LB_DISCOVERY")),
                 seed(config),
                 maxConnections(limits, identity != null),
+                memoryMb(limits) * BYTES_PER_MB,
                 initialEndpoints(config),
                 decode(settings),
                 LoadReportFields.of(settings),
@@ -233,7 +242,7 @@
     private static int maxConnections(JsonFields limits, boolean withIdentity) {
         int sockets =
                 checkRange("limits.sockets", limits.integerOr("sockets", 1024), RESERVED_DESCRIPTORS + 16, 1 << 20);
-        int memoryMb = checkRange("limits.memory_mb", limits.integerOr("memory_mb", 192), 1, 1 << 20);
+        int memoryMb = memoryMb(limits);
         long memoryBound = withIdentity
                 ? (memoryMb * 1024L - TLS_BASE_MEMORY_KIB) / TLS_CONNECTION_MEMORY_KIB
                 : (memoryMb * 1024L - BASE_MEMORY_KIB) / CONNECTION_MEMORY_KIB;
@@ -246,6 +255,10 @@
         return (int) Math.min(sockets - RESERVED_DESCRIPTORS, Math.max(MIN_CONNECTIONS, memoryBound));
     }
 
+    private static int memoryMb(JsonFields limits) {
+        return checkRange("limits.memory_mb", limits.integerOr("memory_mb", 192), 1, 1 << 20);
+    }
+
     private static LoadBalancerSettings decode(JsonFields settings) {
         try {
             return LoadBalancerSettingsDecoder.settings(settings);
--- a/src/main/java/olivechute/node/Node.java
+++ b/src/main/java/olivechute/node/Node.java
@@ -37,6 +37,8 @@
     private static final long BODY_HEAP_DIVISOR = 4;
     /** All that peers make the node hold may take up this fraction of the heap. */
     private static final double PEER_MEMORY_HEAP_FRACTION = 0.4;
+    /** The same as a fraction of the memory that the process may take: one part in so many. */
+    private static final long PEER_MEMORY_LIMIT_DIVISOR = 8;
 
     private static final long IDENTITY_CHECK_PERIOD_US = 1_000_000;
     /**
@@ -64,8 +66,7 @@
     private static final long DRAIN_POLL_MS = 10;
 
     private final EventLoop loop = new EventLoop();
-    private final MemoryBudget peerMemory = new MemoryBudget(
-            (long) (PEER_MEMORY_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
+    private final MemoryBudget peerMemory;
     private final NodeConfig startConfig;
     private final int maxDownstreamConnections;
     private final ConnectionPools pools;
@@ -89,6 +90,7 @@
      */
     public Node(NodeConfig config, Supplier<Instant> clock) throws IOException {
         startConfig = config;
+        peerMemory = new MemoryBudget(peerMemoryBytes(config));
         int totalConnections = maxConnections(config);
         int maxUpstreamConnections = totalConnections / 4;
         maxDownstreamConnections = totalConnections - maxUpstreamConnections;
@@ -138,6 +140,12 @@
         Logger.info("{} listens on {}", config.name(), address);
     }
 
+    private static long peerMemoryBytes(NodeConfig config) {
+        long heapBytes = Runtime.getRuntime().maxMemory();
+        return Math.min(
+                (long) (PEER_MEMORY_HEAP_FRACTION * heapBytes), config.memoryLimitBytes() / PEER_MEMORY_LIMIT_DIVISOR);
+    }
+
     /**
      * Creates the upstream connection pools with writer threads of their own: clients that do not read block the
      * downstream writers, and no upstream request may wait for that.
