An error in the write of a response ends its connection

Cause: DownstreamConnection.write handled only an IOException; an error, such as no memory outside the heap for the system call, left the connection open without its response, and its client waited in vain.

Change: the connection is closed. ConnectionCloseTest#errorInAWriteEndsItsConnection fails on the program before (its client reads nothing for 8 s) and passes now, with the other 12 of its class.

--- a/src/main/java/olivechute/downstream/DownstreamConnection.java
+++ b/src/main/java/olivechute/downstream/DownstreamConnection.java
@@ -236,6 +236,9 @@
         } catch (IOException e) {
             Logger.debug("response to request {} not written: {}", writtenStream.requestId, e.getMessage());
             close(CloseReason.WRITE_FAILED);
+        } catch (RuntimeException | Error e) {
+            close(CloseReason.WRITE_FAILED); // otherwise the client would wait for a response that never comes
+            throw e;
         } finally {
             writtenStream.onResponseDone();
         }
--- a/src/test/java/olivechute/ConnectionCloseTest.java
+++ b/src/test/java/olivechute/ConnectionCloseTest.java
@@ -131,6 +131,25 @@
                 maxConnections);
     }
 
+    /**
+     * Guards against an error in a write, such as no memory for the system call, that left the connection open without
+     * a response: its client waited in vain.
+     */
+    @Test
+    public void errorInAWriteEndsItsConnection() throws Exception {
+        listen(channel -> new ObservedConnection(channel) {
+            @Override
+            void beforeWrite() {
+                throw new OutOfMemoryError("of a test");
+            }
+        });
+        TestClient client = connect();
+        client.send(TestClient.jobRequest("verify", "t1", 5000));
+        sendResult(awaitRequest(), "ok");
+        assertTrue(client.isClosedByServer());
+        await(() -> server.unansweredRequests() == 0);
+    }
+
     @Test
     public void requestBeingReadIsAnsweredDuringDrain() throws Exception {
         CountDownLatch readDone = new CountDownLatch(1);
