PeerMemoryTest: post the unread response from a thread of its own

Cause: a response is written by the thread that posts it if no other runs the loop; the test's own thread then waited 5 s in the blocked write, and looked at the memory after it was written. Change: another thread posts. What is checked is the same.

--- a/src/test/java/olivechute/PeerMemoryTest.java
+++ b/src/test/java/olivechute/PeerMemoryTest.java
@@ -168,7 +168,9 @@
         listen(channel -> blockingWrites(channel, release));
         TestClient client = connect();
         client.send(TestClient.jobRequest("verify", "a", 5000));
-        sendResult(awaitRequest(), DOCUMENT);
+        var request = awaitRequest();
+        // On a thread of its own, as whoever posts a response may have to write it.
+        Threads.start("answer", () -> sendResult(request, DOCUMENT));
         await(() -> memory.reservedBytes() >= DOCUMENT_BYTES);
         release.countDown();
         assertEquals(client.receive().status(), 200);
