--- a/src/main/java/olivechute/downstream/ConnectionReader.java
+++ b/src/main/java/olivechute/downstream/ConnectionReader.java
@@ -46,7 +46,12 @@
         this.connection = connection;
         this.transport = transport;
         this.authenticator = authenticator;
-        this.memory = new TieredAllowance(connection.server.memory, this::memoryTier, MAX_MEMORY_WAIT_MS);
+        this.memory = new TieredAllowance(connection.server.memory, MAX_MEMORY_WAIT_MS) {
+            @Override
+            protected Tier tier() {
+                return memoryTier();
+            }
+        };
         this.parser = new RequestParser(memory);
         transport.limitMemory(memory);
     }
--- a/src/main/java/olivechute/http/MessageParser.java
+++ b/src/main/java/olivechute/http/MessageParser.java
@@ -267,7 +267,7 @@
         reusableHeaders = takenHeaders;
         takenBuffer = null;
         takenHeaders = null;
-        MemoryReservation reservation = MemoryReservation.of(memory::release, takenReservation);
+        MemoryReservation reservation = MemoryReservation.of(memory, takenReservation);
         takenReservation = 0;
         if (includingBody) {
             reservation.release();
--- a/src/main/java/olivechute/memory/MemoryReservation.java
+++ b/src/main/java/olivechute/memory/MemoryReservation.java
@@ -18,6 +18,11 @@
         this.bytes = bytes;
     }
 
+    /** Takes over bytes that were reserved from an allowance, whose {@code release} must be thread-safe. */
+    public static MemoryReservation of(MemoryAllowance allowance, int bytes) {
+        return bytes == 0 ? NONE : new MemoryReservation(allowance::release, bytes);
+    }
+
     /** Takes over reserved bytes; {@code releaser} releases them, on any thread. */
     public static MemoryReservation of(IntConsumer releaser, int bytes) {
         return bytes == 0 ? NONE : new MemoryReservation(releaser, bytes);
--- a/src/main/java/olivechute/memory/TieredAllowance.java
+++ b/src/main/java/olivechute/memory/TieredAllowance.java
@@ -1,27 +1,26 @@
 package olivechute.memory;
 
-import java.util.function.Supplier;
 import olivechute.memory.MemoryBudget.Tier;
 
 /** The allowance of one connection: reserves from the node's budget in the tier that the peer has at that time. */
-public final class TieredAllowance implements MemoryAllowance {
+public abstract class TieredAllowance implements MemoryAllowance {
     private final MemoryBudget budget;
-    private final Supplier<Tier> tier;
     private final long maxWaitMillis;
     private boolean mayWait = true;
 
     /**
      * Creates an allowance.
      *
-     * @param tier the tier of the next reservation; called by the thread that reserves
      * @param maxWaitMillis how long a reservation may wait until memory is available
      */
-    public TieredAllowance(MemoryBudget budget, Supplier<Tier> tier, long maxWaitMillis) {
+    protected TieredAllowance(MemoryBudget budget, long maxWaitMillis) {
         this.budget = budget;
-        this.tier = tier;
         this.maxWaitMillis = maxWaitMillis;
     }
 
+    /** Returns the tier of the next reservation; called by the thread that reserves. */
+    protected abstract Tier tier();
+
     /** Sets whether reservations may wait from now on; called by the thread that reserves. */
     public void setMayWait(boolean allowed) {
         mayWait = allowed;
@@ -29,7 +28,7 @@
 
     @Override
     public boolean tryReserve(int bytes) {
-        Tier currentTier = tier.get();
+        Tier currentTier = tier();
         if (bytes <= 0 || budget.tryReserve(bytes, currentTier)) {
             return true;
         }
--- a/src/main/java/olivechute/proxy/ActiveRequest.java
+++ b/src/main/java/olivechute/proxy/ActiveRequest.java
@@ -22,7 +22,6 @@
     final int classIndex;
     final RequestClass requestClass;
     final long openedAtUs;
-    final EarlierAttempts earlierAttempts = new EarlierAttempts();
     /** When the node gives up the request: the client's deadline, or the end of a drain if that is earlier. */
     volatile long giveUpAtUs;
 
@@ -34,6 +33,9 @@
     /** When the first attempt that the endpoint may have executed was sent, or {@link RequestRules#NEVER}. */
     volatile long possiblyExecutedSinceUs = RequestRules.NEVER;
 
+    /** Attempts that have ended and may still cause status events. */
+    private EarlierAttempts earlierAttempts = EarlierAttempts.NONE;
+
     int attemptCount;
     /** Number of attempts that were suppressed before a byte was written. */
     int suppressedAttempts;
@@ -93,6 +95,18 @@
         return inFlightAttempt != null && inFlightAttempt.attemptNumber() == attemptNumber;
     }
 
+    EarlierAttempts earlierAttempts() {
+        return earlierAttempts;
+    }
+
+    /** Records an attempt that has ended without an answer to the client. */
+    void onAttemptEnded(String endpoint, AttemptOutcome outcome) {
+        if (earlierAttempts == EarlierAttempts.NONE) {
+            earlierAttempts = new EarlierAttempts();
+        }
+        earlierAttempts.add(endpoint, outcome);
+    }
+
     boolean started() {
         return startedAtUs != NOT_STARTED;
     }
--- a/src/main/java/olivechute/proxy/EarlierAttempts.java
+++ b/src/main/java/olivechute/proxy/EarlierAttempts.java
@@ -10,6 +10,9 @@
  * may concern the entry as well as the attempt in flight. Owned by the event loop.
  */
 final class EarlierAttempts {
+    /** No attempt has ended yet; must not be added to. */
+    static final EarlierAttempts NONE = new EarlierAttempts();
+
     /** The status events that an ended attempt may still cause. */
     private enum PossibleEvents {
         /** Only ends: the attempt was handed back and never started. */
--- a/src/main/java/olivechute/proxy/JobStatusHandler.java
+++ b/src/main/java/olivechute/proxy/JobStatusHandler.java
@@ -100,14 +100,14 @@
      */
     private Attribution attribute(ActiveRequest request, ProxyEvent.JobStatus status) {
         String endpoint = request.inFlightAttempt.endpoint();
-        if (status == ProxyEvent.JobStatus.DONE || !request.earlierAttempts.mayCauseEventsFrom(endpoint)) {
+        if (status == ProxyEvent.JobStatus.DONE || !request.earlierAttempts().mayCauseEventsFrom(endpoint)) {
             return Attribution.ATTEMPT_IN_FLIGHT;
         }
         if (!transport.hasWrittenBytes(request.inFlightAttempt)) {
             return Attribution.EARLIER_ATTEMPT;
         }
         if (!status.endsAttempt()) {
-            boolean confirmed = !request.earlierAttempts.mayCauseStartFrom(endpoint);
+            boolean confirmed = !request.earlierAttempts().mayCauseStartFrom(endpoint);
             request.startConfirmed |= confirmed;
             return confirmed || request.attemptAccepted ? Attribution.ATTEMPT_IN_FLIGHT : Attribution.EARLIER_ATTEMPT;
         }
--- a/src/main/java/olivechute/proxy/RequestDispatcher.java
+++ b/src/main/java/olivechute/proxy/RequestDispatcher.java
@@ -313,7 +313,7 @@
             request.suppressedAttempts++;
             endIfClientDisconnected(request);
         } else if (!request.answered) {
-            request.earlierAttempts.add(attempt.endpoint(), outcome);
+            request.onAttemptEnded(attempt.endpoint(), outcome);
         }
         attemptTracker.reportEndToHealth(request, attempt, outcome, nowUs);
         loadBalancer.onAttemptEnd(
--- a/src/main/java/olivechute/upstream/ConnectionPools.java
+++ b/src/main/java/olivechute/upstream/ConnectionPools.java
@@ -41,7 +41,7 @@
      */
     private static final long FRESH_IDLE_US = UpstreamConnection.SETTLE_TIME_US + 20_000;
 
-    private final MemoryBudget memory;
+    private final MemoryAllowance responseMemory;
     private final EventLoop loop;
     private final WriterThreads writers;
     private final Connector connector;
@@ -91,7 +91,12 @@
             int maxConnections,
             boolean onlyDrainingBinds,
             MemoryBudget memory) {
-        this.memory = memory;
+        this.responseMemory = new TieredAllowance(memory, 0) {
+            @Override
+            protected MemoryBudget.Tier tier() {
+                return MemoryBudget.Tier.KNOWN_ENDPOINT;
+            }
+        };
         this.loop = loop;
         this.writers = writers;
         this.connector = connector;
@@ -288,9 +293,9 @@
         return loop.now();
     }
 
-    /** What a new connection may use for responses. */
+    /** What the connections may use for responses; thread-safe, as it never waits. */
     MemoryAllowance responseMemory() {
-        return new TieredAllowance(memory, () -> MemoryBudget.Tier.KNOWN_ENDPOINT, 0);
+        return responseMemory;
     }
 
     Connection createUnconnected(EndpointConnectionPool pool) throws IOException {
