--- a/src/main/java/olivechute/downstream/ConnectionReader.java
+++ b/src/main/java/olivechute/downstream/ConnectionReader.java
@@ -7,7 +7,6 @@
 import olivechute.http.HttpException;
 import olivechute.http.MessageWriter;
 import olivechute.http.RequestParser;
-import olivechute.memory.MemoryBudget;
 import olivechute.memory.MemoryBudget.Tier;
 import olivechute.memory.MemoryExhaustedException;
 import olivechute.memory.TieredAllowance;
@@ -17,9 +16,10 @@
 /**
  * Reads a downstream connection on a thread of its own. Takes messages one after another, checks while a pipelined
  * request waits that its client is still connected, and ends the connection when it was asked to, as only the reader
- * knows that no message is being processed. Accesses the connection's state under the connection's monitor.
+ * knows that no message is being processed. Is also the allowance of the memory for the input, one object less for each
+ * connection. Accesses the connection's state under the connection's monitor.
  */
-final class ConnectionReader implements Runnable {
+final class ConnectionReader extends TieredAllowance implements Runnable {
     /** Limit of the input after the last message; at this limit the connection is closed. */
     private static final int MAX_DISCARD_BYTES = 64 * 1024 * 1024;
 
@@ -39,25 +39,20 @@
     private final DownstreamConnection connection;
     private final Connection transport;
     private final PeerIdentity.Authenticator authenticator;
-    private final TieredAllowance memory;
     private final RequestParser parser;
 
     ConnectionReader(DownstreamConnection connection, Connection transport, PeerIdentity.Authenticator authenticator) {
+        super(connection.server.memory, MAX_MEMORY_WAIT_MS);
         this.connection = connection;
         this.transport = transport;
         this.authenticator = authenticator;
-        this.memory = new TieredAllowance(connection.server.memory, MAX_MEMORY_WAIT_MS) {
-            @Override
-            protected Tier tier() {
-                return memoryTier();
-            }
-        };
-        this.parser = new RequestParser(memory);
-        transport.limitMemory(memory);
+        this.parser = new RequestParser(this);
+        transport.limitMemory(this);
     }
 
     /** Who the memory for the message that is being received is reserved for. */
-    private MemoryBudget.Tier memoryTier() {
+    @Override
+    protected Tier tier() {
         if (connection.isKnownPeer()) {
             return connection.isKnownEndpoint() ? Tier.KNOWN_ENDPOINT : Tier.KNOWN_PEER;
         }
@@ -330,7 +325,7 @@
      * checked meanwhile.
      */
     private ByteBuffer bufferForReadAhead() throws HttpException {
-        memory.setMayWait(false);
+        setMayWait(false);
         try {
             return parser.inputBuffer();
         } catch (HttpException e) {
@@ -339,7 +334,7 @@
             }
             throw e;
         } finally {
-            memory.setMayWait(true);
+            setMayWait(true);
         }
     }
 
--- a/src/main/java/olivechute/http/MessageParser.java
+++ b/src/main/java/olivechute/http/MessageParser.java
@@ -460,8 +460,8 @@
         }
         if (keepsBodies && (body == null || body.length < bodySize + count)) {
             int capacity = Math.max(INITIAL_BUFFER_BYTES, Math.min(maxBodyBytes, 2 * (bodySize + count)));
-            reserve(capacity - bodyReservation);
-            bodyReservation = capacity;
+            reserve(capacity - INITIAL_BUFFER_BYTES - bodyReservation);
+            bodyReservation = capacity - INITIAL_BUFFER_BYTES;
             byte[] larger = new byte[capacity];
             if (body != null) {
                 System.arraycopy(body, 0, larger, 0, bodySize);
