Read the URIs of a certificate from the extension itself

OpenJDK 17.0.21 leaves out the alternative names if one URI is too long, so that such a certificate was refused as having no name. UriNames parses the extension; what it cannot parse is refused as unreadable, and so is a chain whose URIs the JDK reads differently, as its path validator would apply name constraints to other names than those checked.

--- a/src/main/java/olivechute/identity/X509Check.java
+++ b/src/main/java/olivechute/identity/X509Check.java
@@ -70,6 +70,9 @@
         for (X509Certificate signer : chain.subList(1, chain.size())) {
             checkSigner(signer, id);
         }
+        for (X509Certificate certificate : chain) {
+            checkNamesAsValidated(certificate);
+        }
         Instant expiry = checkLifetime(chain, now);
         TrustBundle bundle = bundles.bundleFor(id);
         checkPath(chain, bundle, now);
@@ -78,7 +81,7 @@
 
     /** Returns the single SPIFFE ID of a leaf without checking its validity. */
     public static SpiffeId leafId(X509Certificate leaf) throws IdentityRejectedException {
-        List<String> ids = uris(leaf);
+        List<String> ids = UriNames.of(leaf);
         if (ids.size() != 1) {
             throw new IdentityRejectedException(
                     Reason.NOT_ONE_ID, ids.size() + " URIs in the subject alternative names, exactly one is required");
@@ -90,19 +93,26 @@
         return id;
     }
 
-    private static List<String> uris(X509Certificate certificate) throws IdentityRejectedException {
-        List<String> uris = new ArrayList<>();
+    /**
+     * Rejects a certificate whose URIs the JDK reads differently: its path validator would apply the name constraints
+     * of an authority to other names than those that were checked, or to none.
+     */
+    private static void checkNamesAsValidated(X509Certificate certificate) throws IdentityRejectedException {
+        List<String> validated = new ArrayList<>();
         try {
             Collection<List<?>> names = certificate.getSubjectAlternativeNames();
             for (List<?> name : names == null ? List.<List<?>>of() : names) {
                 if (name.get(0).equals(GENERAL_NAME_URI)) {
-                    uris.add((String) name.get(1));
+                    validated.add((String) name.get(1));
                 }
             }
         } catch (CertificateParsingException e) {
             throw new IdentityRejectedException(Reason.UNREADABLE, "subject alternative names: " + e.getMessage());
         }
-        return uris;
+        if (!validated.equals(UriNames.of(certificate))) {
+            throw new IdentityRejectedException(
+                    Reason.UNREADABLE, "subject alternative names: a name that the path validation cannot read");
+        }
     }
 
     private static void checkLeafUsage(X509Certificate leaf) throws IdentityRejectedException {
@@ -134,7 +144,7 @@
         if (signer.getBasicConstraints() < 0 || usage == null || !usage[KEY_CERT_SIGN]) {
             throw new IdentityRejectedException(Reason.UNFIT_SIGNER, "an intermediate certificate that may not sign");
         }
-        List<String> ids = uris(signer);
+        List<String> ids = UriNames.of(signer);
         if (ids.size() > 1) {
             throw new IdentityRejectedException(Reason.UNFIT_SIGNER, "a signing certificate with several URIs");
         }
--- a/src/test/java/olivechute/testca/ForgeryTest.java
+++ b/src/test/java/olivechute/testca/ForgeryTest.java
@@ -64,6 +64,19 @@
                 .startsWith(refused.reason().name().toLowerCase(Locale.ROOT).replace('_', '-') + ": "));
     }
 
+    /** A URI that the JDK may leave out, as it is too long, counts as one more beside the valid one. */
+    @Test
+    public void overlongUriBesideAValidOneIsRejected() throws Exception {
+        SpiffeId id = SpiffeId.parse("spiffe://" + DOMAIN + "/w");
+        String overlong = "spiffe://" + "d".repeat(256) + "/w";
+        for (String[] uris : new String[][] {{id.toString(), overlong}, {overlong, id.toString()}}) {
+            CertificateAuthority.Issued issued =
+                    root.issue(CertificateAuthority.leafContent(id.toString(), NOW.minus(HOUR), NOW.plus(HOUR))
+                            .uris(uris));
+            assertEquals(rejectionReason(issued, bundles, NOW), Reason.NOT_ONE_ID);
+        }
+    }
+
     @Test
     public void validChainHoldsUntilItsEarliestExpiry() throws Exception {
         SpiffeId id = SpiffeId.parse("spiffe://" + DOMAIN + "/sign-worker/s-1");
