--- a/src/main/java/olivechute/benchmark/BenchmarkRig.java
+++ b/src/main/java/olivechute/benchmark/BenchmarkRig.java
@@ -68,7 +68,7 @@
                 connectionFactory.settings());
         endpoints.nodeAddress(node.address());
         for (int i = 0; i < (scenario.connectionsOnly() ? 0 : scenario.clients()); i++) {
-            clients.add(new StandInClient(scenario, connectionFactory, node.address()));
+            clients.add(new StandInClient(scenario, connectionFactory, node));
         }
         while (scenario == Scenario.SHED && openConnections.size() < SHED_BOUND) {
             openConnections.add(connectionFactory.client(node.address()));
--- a/src/main/java/olivechute/benchmark/NodeProcess.java
+++ b/src/main/java/olivechute/benchmark/NodeProcess.java
@@ -155,6 +155,11 @@
         return NodeProbe.kernelCounter(Path.of("/proc/" + process.pid() + "/status"), "VmRSS");
     }
 
+    /** Returns the bytes that the node has read so far, read from outside the process. */
+    long bytesRead() throws IOException {
+        return NodeProbe.kernelCounter(Path.of("/proc/" + process.pid() + "/io"), "rchar");
+    }
+
     /** Returns the node's current number of threads. */
     int threads() throws IOException {
         try (var tasks = Files.list(Path.of("/proc/" + process.pid() + "/task"))) {
--- a/src/main/java/olivechute/benchmark/StandInClient.java
+++ b/src/main/java/olivechute/benchmark/StandInClient.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicLong;
@@ -13,16 +12,23 @@
     private static final AtomicLong IDS = new AtomicLong(0x1000_0000_0000L);
     private static final int PIECE_BYTES = 256;
     private static final int CHUNK_BYTES = 512;
-    /** Pause between pieces, so that the node reads each by itself, as from a slow client. */
+    /**
+     * Pause between octets, and after the node has read a piece, so that it reads each by itself, as from a slow
+     * client.
+     */
     private static final long GAP_NANOS = 30_000;
 
+    private static final long READ_TIMEOUT_NANOS = 10_000_000_000L;
+
     private final Scenario scenario;
     private final BlockingHttpConnection connection;
+    private final NodeProcess node;
     private final byte[] body;
 
-    StandInClient(Scenario scenario, ConnectionFactory connectionFactory, InetSocketAddress node) throws IOException {
+    StandInClient(Scenario scenario, ConnectionFactory connectionFactory, NodeProcess node) throws IOException {
         this.scenario = scenario;
-        this.connection = connectionFactory.client(node);
+        this.connection = connectionFactory.client(node.address());
+        this.node = node;
         this.body = new byte[scenario.body()];
         Arrays.fill(body, (byte) 0xb5); // the high bit tells body bytes from others, see CopyCounter
     }
@@ -60,10 +66,9 @@
     private void send(byte[] head) throws IOException {
         switch (scenario) {
             case PIECES -> {
-                connection.write(head);
+                writeAndAwaitRead(head, 0, head.length);
                 for (int at = 0; at < body.length; at += PIECE_BYTES) {
-                    pause();
-                    connection.write(body, at, PIECE_BYTES);
+                    writeAndAwaitRead(body, at, PIECE_BYTES);
                 }
             }
             case HEAD_OCTETS -> {
@@ -82,6 +87,22 @@
         }
     }
 
+    /**
+     * Writes and waits until the node has read it, so that each piece is read by itself however the processes are
+     * scheduled; then pauses, so that the reader waits again.
+     */
+    private void writeAndAwaitRead(byte[] bytes, int at, int length) throws IOException {
+        long readBefore = node.bytesRead();
+        long startNanos = System.nanoTime();
+        connection.write(bytes, at, length);
+        while (node.bytesRead() < readBefore + length) {
+            if (System.nanoTime() - startNanos > READ_TIMEOUT_NANOS) {
+                throw new IOException(scenario.key() + ": the node does not read");
+            }
+        }
+        pause();
+    }
+
     private byte[] chunked(byte[] head) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.writeBytes(head);
