--- a/review/rig-2/Lab.java
+++ b/review/rig-2/Lab.java
@@ -56,7 +56,7 @@
         int code = COULD_NOT_RUN;
         try {
             code = body.run();
-        } catch (Exception e) {
+        } catch (Throwable e) {
             log("could not run: " + e);
         }
         log("exit " + code + (code == HELD ? ": the rule held" : code == BROKEN ? ": the rule was broken" : ": could not run"));
